--- /dev/null
+++ b/src/liftmount/_internal/cli/daemon.py
@@ -0,0 +1,149 @@
+"""liftmountd: one balancer.
+
+Runs until SIGTERM, which is a planned stop: no new flows, callers are
+asked to move, what is in progress is finished.  Prints one line with the
+bound addresses once it is ready.
+"""
+
+import argparse
+import asyncio
+import json
+import logging
+from pathlib import Path
+import secrets
+import signal
+import sys
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.clock import seconds
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.kernel import Kernel
+from liftmount._internal.models.identity import Identity
+from liftmount._internal.models.identity import make_incarnation
+from liftmount._internal.models.identity import RANDOM_BITS
+from liftmount._internal.models.messages import LeaveStarted
+from liftmount._internal.models.settings import load_settings
+from liftmount._internal.models.settings import Settings
+from liftmount._internal.services.configuration import ConfigurationService
+from liftmount._internal.services.control import ControlService
+from liftmount._internal.services.data import DataService
+from liftmount._internal.services.metrics import MetricsService
+from liftmount._internal.services.peers import PeerService
+from liftmount._internal.services.platform import PlatformService
+from liftmount._internal.services.targets import TargetService
+from liftmount._internal.utils.counters import Counters
+from liftmount._internal.utils.logs import set_up_logging
+
+LOG = logging.getLogger('liftmount.daemon')
+STATUS_USAGE = 2
+CHECK_MS = 50
+FAREWELL_MS = 100
+
+
+def build_kernel(settings: Settings, clock: Clock) -> Kernel:
+    """Return a kernel with all services of a balancer."""
+    identity = Identity(
+        name=settings.instance.name,
+        failure_domain=settings.instance.failure_domain,
+        incarnation=make_incarnation(
+            clock.wall_ms(), secrets.randbits(RANDOM_BITS)
+        ),
+    )
+    counters = Counters(settings.statsd)
+    kernel = Kernel(clock)
+    common = (kernel, settings, identity, counters)
+    # Each service may rely on those before it when it starts.
+    kernel.register(ConfigurationService(kernel, counters))
+    kernel.register(DataService(*common))
+    kernel.register(TargetService(kernel, settings, counters))
+    kernel.register(ControlService(*common))
+    kernel.register(PlatformService(*common))
+    kernel.register(PeerService(*common))
+    kernel.register(MetricsService(kernel, counters))
+    return kernel
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Run a balancer until its planned stop is complete."""
+    clock = Clock()
+    kernel = build_kernel(settings, clock)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    running = asyncio.create_task(kernel.run())
+    ready = asyncio.create_task(_announce_ready(kernel))
+    stopped = asyncio.create_task(stopping.wait())
+    await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if not running.done():
+        await _leave(kernel, settings, clock)
+    for task in (running, ready, stopped):
+        task.cancel()
+    results = await asyncio.gather(running, return_exceptions=True)
+    error = results[0]
+    if isinstance(error, Exception):
+        raise error
+
+
+async def _announce_ready(kernel):
+    peers = kernel.lookup('peers')
+    while peers.state is None:
+        await asyncio.sleep(seconds(CHECK_MS))
+    addresses = {
+        'ready': kernel.lookup('data').identity.name,
+        'fabric': str(kernel.lookup('data').fabric.address),
+        'peer': str(peers.socket.address),
+        'control': str(kernel.lookup('control').address),
+    }
+    print(json.dumps(addresses), flush=True)
+
+
+async def _leave(kernel, settings, clock):
+    """Carry out a planned stop, within the limit of the settings."""
+    peers = kernel.lookup('peers')
+    peers.stopping = True
+    for name in ('data', 'peers'):
+        kernel.post(name, LeaveStarted())
+    give_up_ms = clock.now_ms() + settings.limits.stop_ms
+    data = kernel.lookup('data')
+    while clock.now_ms() < give_up_ms:
+        await asyncio.sleep(seconds(CHECK_MS))
+        if data.home.leaving and data.has_finished():
+            LOG.info('Nothing is in progress any more.')
+            break
+    else:
+        LOG.warning('The limit of the planned stop was reached.')
+    peers.say_farewell()
+    await asyncio.sleep(seconds(FAREWELL_MS))
+
+
+def main(arguments=None) -> int:
+    """Run the daemon; return its exit status."""
+    parser = argparse.ArgumentParser(
+        prog='liftmountd', description='Run one balancer of liftmount.'
+    )
+    parser.add_argument(
+        '--settings',
+        type=Path,
+        required=True,
+        metavar='FILE',
+        help='TOML file with the settings of this instance',
+    )
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.settings)
+    except ConfigurationError as error:
+        for problem in error.problems:
+            print(f'liftmountd: {problem}', file=sys.stderr)
+        return STATUS_USAGE
+    set_up_logging(settings.log.level)
+    try:
+        asyncio.run(run_daemon(settings))
+    except OSError as error:
+        LOG.error('Cannot run: %s.', error)
+        return 1
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/liftmount/_internal/commands/documents.py
@@ -0,0 +1,283 @@
+"""What the commands for templates and teams share."""
+
+import asyncio
+from difflib import unified_diff
+import getpass
+import json
+from pathlib import Path
+import secrets
+import sys
+
+from attrs import asdict
+from attrs import frozen
+import tomli_w
+
+from liftmount._internal.cli.base import Command
+from liftmount._internal.cli.base import platform_client
+from liftmount._internal.cli.base import print_rows
+from liftmount._internal.cli.base import STATUS_CONFLICT
+from liftmount._internal.cli.base import STATUS_ERROR
+from liftmount._internal.cli.base import STATUS_NOT_IN_FORCE
+from liftmount._internal.cli.base import STATUS_OK
+from liftmount._internal.clock import Clock
+from liftmount._internal.clock import seconds
+from liftmount._internal.commands.in_force import InForce
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.exceptions import ConflictError
+from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.models.objects import StoredObject
+from liftmount._internal.models.objects import Written
+from liftmount._internal.models.problems import Problem
+from liftmount._internal.platform.client import PlatformClient
+from liftmount._internal.platform.client import write_and_resolve
+from liftmount._internal.utils.documents import read_toml
+from liftmount._internal.utils.documents import structure
+
+BASE_VERSION = 'base_version'
+HISTORY_LENGTH = 20
+NONCE_BYTES = 8
+WAIT_POLL_MS = 200
+
+
+@frozen
+class DocumentFile:
+    """A document from a file; ``base_version`` is what it was made from.
+
+    0 stands for a document that is new, None for whatever is stored.
+    """
+
+    path: str
+    document: dict
+    base_version: int | None
+
+
+def read_document(path: str) -> DocumentFile:
+    """Read a TOML file; raises ConfigurationError."""
+    document = read_toml(Path(path))
+    base_version = document.pop(BASE_VERSION, None)
+    if base_version is not None and type(base_version) is not int:
+        problem = Problem(
+            path, BASE_VERSION, repr(base_version), 'expected int'
+        )
+        raise ConfigurationError([problem])
+    return DocumentFile(path, document, base_version)
+
+
+def to_toml(document: dict) -> str:
+    """Return a document as TOML."""
+    return tomli_w.dumps(document)
+
+
+def stored_document(item: StoredObject | None) -> dict | None:
+    """Return the document of a stored object, or None."""
+    if item is None or item.value is None:
+        return None
+    return structure(item.value, Written, item.key).document
+
+
+def show_diff(old: dict | None, new: dict, old_name: str, new_name: str):
+    """Print the difference of two documents; return whether there is."""
+    old_lines = to_toml(old).splitlines() if old else []
+    new_lines = to_toml(new).splitlines()
+    lines = list(
+        unified_diff(old_lines, new_lines, old_name, new_name, lineterm='')
+    )
+    for line in lines:
+        print(line)
+    return bool(lines)
+
+
+class DocumentCommand(Command):
+    """Base of the commands for templates and for teams.
+
+    Subclasses set ``kind`` and check documents.
+    """
+
+    kind = ObjectKind.TEMPLATE
+
+    def add_options(self, parser):
+        """Add one word for each action, and its arguments."""
+        actions = parser.add_subparsers(
+            dest='action', required=True, metavar='ACTION'
+        )
+        for name, text in (
+            ('validate', 'check a file without writing anything'),
+            ('diff', 'show what a file would change'),
+            ('apply', 'write a file, unless another writer was first'),
+        ):
+            action = actions.add_parser(name, help=text, description=text)
+            action.add_argument('file', metavar='FILE')
+            if name == 'apply':
+                action.add_argument(
+                    '--wait-ms',
+                    type=int,
+                    default=0,
+                    metavar='MS',
+                    help='wait until it is in force on every balancer',
+                )
+        get = actions.add_parser('get', help='print one as TOML')
+        get.add_argument('name', metavar='NAME')
+        actions.add_parser('list', help='list all')
+        history = actions.add_parser('history', help='list past versions')
+        history.add_argument('name', metavar='NAME')
+
+    async def run(self, options):
+        """Run the action that was asked for."""
+        client = platform_client(options)
+        try:
+            run = getattr(self, f'_{options.action}')
+            return await run(options, client)
+        finally:
+            await client.close()
+
+    def _key(self, name):
+        return f'{self.kind.value}/{name}'
+
+    def parse(self, document: dict, source: str):
+        """Check a document on its own; raises ConfigurationError."""
+        raise NotImplementedError
+
+    async def check_in_place(
+        self, parsed, source: str, client: PlatformClient
+    ) -> None:
+        """Check a document against what is stored."""
+
+    async def _validate(self, options, client):
+        file = read_document(options.file)
+        parsed = self.parse(file.document, file.path)
+        await self.check_in_place(parsed, file.path, client)
+        print(f'{file.path}: valid.')
+        return STATUS_OK
+
+    async def _diff(self, options, client):
+        file = read_document(options.file)
+        parsed = self.parse(file.document, file.path)
+        stored = await client.get(self._key(parsed.name))
+        differs = show_diff(
+            stored_document(stored), file.document, 'stored', file.path
+        )
+        return STATUS_ERROR if differs else STATUS_OK
+
+    async def _apply(self, options, client):
+        file = read_document(options.file)
+        parsed = self.parse(file.document, file.path)
+        await self.check_in_place(parsed, file.path, client)
+        key = self._key(parsed.name)
+        stored = await client.get(key)
+        exists = stored is not None and stored.value is not None
+        found_version = stored.version if exists else 0
+        version = file.base_version
+        if version is None:
+            version = found_version
+        value = asdict(_written(file.document))
+        try:
+            if version != found_version:
+                raise ConflictError(key, stored)
+            written = await write_and_resolve(client, key, value, version)
+        except ConflictError as error:
+            return _show_conflict(error, file)
+        await _keep_history(client, key, stored if exists else None)
+        print(f'{key}: submitted as version {written}.')
+        if options.wait_ms:
+            return await self._wait(options, client, parsed, written)
+        return STATUS_OK
+
+    async def _wait(self, options, client, parsed, version):
+        clock = Clock()
+        give_up_ms = clock.now_ms() + options.wait_ms
+        while True:
+            state = await self.in_force(client, parsed, version)
+            if state.holds:
+                print(f'version {version}: in force everywhere.')
+                return STATUS_OK
+            if clock.now_ms() >= give_up_ms:
+                print(f'not in force: {state.why}', file=sys.stderr)
+                return STATUS_NOT_IN_FORCE
+            await asyncio.sleep(seconds(WAIT_POLL_MS))
+
+    async def in_force(self, client, parsed, version: int) -> InForce:
+        """Tell whether a version is in force on every balancer."""
+        raise NotImplementedError
+
+    async def _get(self, options, client):
+        stored = await client.get(self._key(options.name))
+        document = stored_document(stored)
+        if document is None:
+            print(f'there is no {self._key(options.name)}', file=sys.stderr)
+            return STATUS_ERROR
+        shown = {BASE_VERSION: stored.version, **document}
+        if options.output == 'json':
+            print(json.dumps(shown, indent=2))
+        else:
+            print(to_toml(shown), end='')
+        return STATUS_OK
+
+    async def _list(self, options, client):
+        listing = await client.list([self.kind])
+        rows = []
+        for item in sorted(listing.objects, key=lambda one: one.key):
+            if item.value is None:
+                continue
+            written = structure(item.value, Written, item.key)
+            rows.append(_row(item.name, item.version, written))
+        print_rows(options, ('name', 'version', 'writer', 'wall_ms'), rows)
+        return STATUS_OK
+
+    async def _history(self, options, client):
+        stored = await client.get(self._key(options.name))
+        past = await client.get(_history_key(self._key(options.name)))
+        rows = list(past.value['versions']) if past and past.value else []
+        if stored is not None and stored.value is not None:
+            written = structure(stored.value, Written, stored.key)
+            rows.append(_row(stored.name, stored.version, written))
+        print_rows(options, ('version', 'writer', 'wall_ms'), rows)
+        return STATUS_OK
+
+
+def _row(name, version, written):
+    return {
+        'name': name,
+        'version': version,
+        'writer': written.writer,
+        'wall_ms': written.written_wall_ms,
+    }
+
+
+def _written(document):
+    return Written(
+        document=document,
+        writer=getpass.getuser(),
+        nonce=secrets.token_hex(NONCE_BYTES),
+        written_wall_ms=Clock().wall_ms(),
+    )
+
+
+def _show_conflict(error, file):
+    print(f'liftmount: {error}; nothing was written.', file=sys.stderr)
+    current = stored_document(error.current)
+    version = error.current.version if error.current else 0
+    name = f'stored, version {version}'
+    show_diff(current, file.document, name, file.path)
+    return STATUS_CONFLICT
+
+
+def _history_key(key):
+    return f'{ObjectKind.HISTORY.value}/{key.replace("/", ".")}'
+
+
+async def _keep_history(client, key, replaced):
+    """Note the version that was replaced; losing this harms nothing."""
+    if replaced is None:
+        return
+    history_key = _history_key(key)
+    found = await client.get(history_key)
+    versions = list(found.value['versions']) if found else []
+    written = structure(replaced.value, Written, replaced.key)
+    row = _row(replaced.name, replaced.version, written)
+    versions.append({**row, 'document': written.document})
+    value = {'versions': versions[-HISTORY_LENGTH:]}
+    version = found.version if found else 0
+    try:
+        await write_and_resolve(client, history_key, value, version)
+    except ConflictError:
+        print('liftmount: the history has a gap.', file=sys.stderr)
--- /dev/null
+++ b/src/liftmount/_internal/commands/flow.py
@@ -0,0 +1,77 @@
+"""The command ``liftmount flow``."""
+
+import asyncio
+import json
+import sys
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from liftmount._internal.cli.base import Command
+from liftmount._internal.cli.base import parse_option
+from liftmount._internal.cli.base import STATUS_ERROR
+from liftmount._internal.cli.base import STATUS_OK
+from liftmount._internal.clock import seconds
+from liftmount._internal.network import control_frames as frames
+
+LIMIT_MS = 3_000
+
+
+class FlowCommand(Command):
+    """Ask a balancer where a new flow would go, and why.
+
+    With "inspect" it tells instead what the balancer holds: flows, pools,
+    counters, versions and members.
+    """
+
+    name = 'flow'
+
+    def add_options(self, parser):
+        """Add the actions."""
+        actions = parser.add_subparsers(
+            dest='action', required=True, metavar='ACTION'
+        )
+        explain = actions.add_parser('explain', help='explain a new flow')
+        explain.add_argument('address', metavar='SERVICE-IP:PORT')
+        inspect = actions.add_parser('inspect', help='show a balancer')
+        for action in (explain, inspect):
+            action.add_argument(
+                '--control',
+                required=True,
+                metavar='IP:PORT',
+                help='control address of the balancer to ask',
+            )
+
+    async def run(self, options):
+        """Ask and print the answer."""
+        subject = 'instance'
+        argument = ''
+        if options.action == 'explain':
+            subject = 'flow'
+            address = parse_option('SERVICE-IP:PORT', options.address)
+            argument = str(address)
+        control = parse_option('--control', options.control)
+        try:
+            document = await ask(control, subject, argument)
+        except (TimeoutError, OSError, WebSocketException) as error:
+            text = f'{control} gave no answer: {error!r}'
+            print(f'liftmount: {text}', file=sys.stderr)
+            return STATUS_ERROR
+        shown = document['data'] if subject == 'flow' else document
+        print(json.dumps(shown, indent=2, sort_keys=True))
+        return STATUS_OK
+
+
+async def ask(control, subject: str, argument: str = '') -> dict:
+    """Return a balancer's answer about ``subject``."""
+    request = frames.InspectRequest(subject, argument)
+    async with asyncio.timeout(seconds(LIMIT_MS)):
+        async with connect(
+            f'ws://{control}/', compression=None, proxy=None
+        ) as socket:
+            await socket.send(frames.CODEC.encode(request))
+            answer = frames.CODEC.decode(await socket.recv())
+    return answer.document
+
+
+COMMAND = FlowCommand()
--- /dev/null
+++ b/src/liftmount/_internal/commands/instance.py
@@ -0,0 +1,50 @@
+"""The command ``liftmount instance``."""
+
+from attrs import asdict
+
+from liftmount._internal.cli.base import Command
+from liftmount._internal.cli.base import platform_client
+from liftmount._internal.cli.base import print_rows
+from liftmount._internal.cli.base import STATUS_OK
+from liftmount._internal.commands.target import drain
+from liftmount._internal.commands.target import restore
+
+
+class InstanceCommand(Command):
+    """List the platform's instances, or drain an entry instance.
+
+    A drained entry instance takes no new flows and asks callers to move;
+    stop it afterwards with SIGTERM.
+    """
+
+    name = 'instance'
+
+    def add_options(self, parser):
+        """Add the actions."""
+        actions = parser.add_subparsers(
+            dest='action', required=True, metavar='ACTION'
+        )
+        actions.add_parser('list', help='list the instances')
+        for name in ('drain', 'restore'):
+            action = actions.add_parser(name, help=f'{name} an instance')
+            action.add_argument('instance', metavar='NAME')
+
+    async def run(self, options):
+        """Run the action."""
+        client = platform_client(options)
+        try:
+            if options.action == 'drain':
+                return await drain(client, options.instance)
+            if options.action == 'restore':
+                return await restore(client, options.instance)
+            listing = await client.instances()
+            rows = [asdict(one) for one in listing.instances]
+            rows.sort(key=lambda row: row['name'])
+            columns = ('name', 'failure_domain', 'role', 'state')
+            print_rows(options, columns, rows)
+            return STATUS_OK
+        finally:
+            await client.close()
+
+
+COMMAND = InstanceCommand()
--- /dev/null
+++ b/src/liftmount/_internal/commands/status.py
@@ -0,0 +1,100 @@
+"""The command ``liftmount status``."""
+
+import asyncio
+
+from attrs import asdict
+
+from liftmount._internal.cli.base import Command
+from liftmount._internal.cli.base import platform_client
+from liftmount._internal.cli.base import print_rows
+from liftmount._internal.cli.base import STATUS_NOT_IN_FORCE
+from liftmount._internal.cli.base import STATUS_OK
+from liftmount._internal.clock import seconds
+from liftmount._internal.commands.in_force import live_domains
+from liftmount._internal.commands.in_force import read_statuses
+from liftmount._internal.models.objects import SPREAD_KINDS
+
+WATCH_MS = 1_000
+IN_FORCE = 'in force'
+EMPTY = 'empty'
+COLUMNS = (
+    'failure_domain',
+    'state',
+    'holder',
+    'epoch',
+    'revision',
+    'applied',
+    'missing',
+    'problems',
+)
+
+
+class StatusCommand(Command):
+    """Show which configuration is in force in each failure domain.
+
+    The state is "in force", "behind" (the domain has not reported the
+    newest version), "missing" (named balancers do not hold it), "silent"
+    (the domain has live balancers but never reported) or "empty" (it has
+    no live balancer).  Exits with 5 unless every domain that has live
+    balancers is "in force".
+    """
+
+    name = 'status'
+
+    def add_options(self, parser):
+        """Add the option to go on watching."""
+        parser.add_argument(
+            '--watch', action='store_true', help='print again on change'
+        )
+
+    async def run(self, options):
+        """Print the status, once or at each change."""
+        client = platform_client(options)
+        shown = None
+        try:
+            while True:
+                rows = await _rows(client)
+                if rows != shown:
+                    print_rows(options, COLUMNS, rows)
+                    shown = rows
+                if not options.watch:
+                    break
+                await asyncio.sleep(seconds(WATCH_MS))
+        finally:
+            await client.close()
+        states = {row['state'] for row in rows} - {EMPTY}
+        return STATUS_OK if states == {IN_FORCE} else STATUS_NOT_IN_FORCE
+
+
+async def _rows(client):
+    listing = await client.list(SPREAD_KINDS, with_values=False)
+    newest = max((item.version for item in listing.objects), default=0)
+    statuses = {one.failure_domain: one for one in await read_statuses(client)}
+    domains = await live_domains(client)
+    rows = []
+    for name in sorted(domains | set(statuses)):
+        status = statuses.get(name)
+        if status is None:
+            rows.append({'failure_domain': name, 'state': 'silent'})
+            continue
+        row = asdict(status)
+        row['state'] = _state(status, newest)
+        if name not in domains:
+            row['state'] = EMPTY
+        row['applied'] = len(status.applied)
+        row['missing'] = ','.join(status.missing) or '-'
+        problems = status.problems.items()
+        row['problems'] = (
+            '; '.join(f'{key}: {text}' for key, text in problems) or '-'
+        )
+        rows.append(row)
+    return rows
+
+
+def _state(status, newest):
+    if status.revision < newest:
+        return 'behind'
+    return 'missing' if status.missing else IN_FORCE
+
+
+COMMAND = StatusCommand()
--- /dev/null
+++ b/src/liftmount/_internal/commands/team.py
@@ -0,0 +1,107 @@
+"""The command ``liftmount team``."""
+
+from liftmount._internal.commands.documents import DocumentCommand
+from liftmount._internal.commands.documents import stored_document
+from liftmount._internal.commands.in_force import check_version
+from liftmount._internal.commands.in_force import InForce
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.models.configuration import parse_team
+from liftmount._internal.models.configuration import parse_template
+from liftmount._internal.models.configuration import resolve_services
+from liftmount._internal.models.objects import Claim
+from liftmount._internal.models.objects import ClaimState
+from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.models.problems import Problem
+from liftmount._internal.utils.documents import structure
+
+
+class TeamCommand(DocumentCommand):
+    """Check, write and show teams.
+
+    A team is made from a template by its parameters: addresses of its
+    services, targets, and which callers may use it.
+    """
+
+    name = 'team'
+    kind = ObjectKind.TEAM
+
+    def parse(self, document, source):
+        """Check a team on its own."""
+        return parse_team(document, source)
+
+    async def check_in_place(self, parsed, source, client):
+        """Check a team against its template and the other teams."""
+        key = f'{ObjectKind.TEMPLATE.value}/{parsed.template}'
+        document = stored_document(await client.get(key))
+        if document is None:
+            text = 'there is no such template'
+            value = repr(parsed.template)
+            problem = Problem(source, 'template', value, text)
+            raise ConfigurationError([problem])
+        resolve_services(parsed, parse_template(document, key), source)
+        problems = []
+        for other in await _other_teams(client, parsed.name):
+            problems += _clashes(parsed, other, source)
+        if problems:
+            raise ConfigurationError(problems)
+
+    async def in_force(self, client, parsed, version):
+        """Tell whether the team and its addresses are in force."""
+        found = await check_version(client, version)
+        if not found.holds:
+            return found
+        return await _claims_in_force(client, parsed)
+
+
+async def _other_teams(client, name):
+    listing = await client.list([ObjectKind.TEAM])
+    teams = []
+    for item in listing.objects:
+        document = stored_document(item)
+        if document is None or item.name == name:
+            continue
+        try:
+            teams.append(parse_team(document, item.key))
+        except ConfigurationError:
+            # An invalid team in the store must not bar the others.
+            continue
+    return teams
+
+
+def _clashes(team, other, source):
+    problems = []
+    taken = {str(address): name for name, address in other.addresses.items()}
+    for name, address in team.addresses.items():
+        if str(address) in taken:
+            text = f'is the address of {other.name}/{taken[str(address)]}'
+            key = f'addresses.{name}'
+            problems.append(Problem(source, key, f"'{address}'", text))
+    targets = {one.address: one.name for one in other.targets}
+    for index, target in enumerate(team.targets):
+        if target.address in targets:
+            text = f'is target {other.name}/{targets[target.address]}'
+            key = f'targets[{index}].address'
+            value = f"'{target.address}'"
+            problems.append(Problem(source, key, value, text))
+    return problems
+
+
+async def _claims_in_force(client, team):
+    listing = await client.list([ObjectKind.CLAIM])
+    known = {item.name: item for item in listing.objects if item.value}
+    newest = 0
+    for service, address in team.addresses.items():
+        item = known.get(str(address))
+        if item is None:
+            return InForce(False, f'{address} is not granted yet')
+        claim = structure(item.value, Claim, item.key)
+        holder = (claim.team, claim.service)
+        is_held = claim.state == ClaimState.HELD.value
+        if not is_held or holder != (team.name, service):
+            text = f'{address} is not yet released by {claim.team}'
+            return InForce(False, text)
+        newest = max(newest, item.version)
+    return await check_version(client, newest)
+
+
+COMMAND = TeamCommand()
--- /dev/null
+++ b/src/liftmount/_internal/commands/template.py
@@ -0,0 +1,27 @@
+"""The command ``liftmount template``."""
+
+from liftmount._internal.commands.documents import DocumentCommand
+from liftmount._internal.commands.in_force import check_version
+from liftmount._internal.models.configuration import parse_template
+from liftmount._internal.models.objects import ObjectKind
+
+
+class TemplateCommand(DocumentCommand):
+    """Check, write and show templates, from which teams are made.
+
+    A template lists the services that each of its teams has.
+    """
+
+    name = 'template'
+    kind = ObjectKind.TEMPLATE
+
+    def parse(self, document, source):
+        """Check a template on its own."""
+        return parse_template(document, source)
+
+    async def in_force(self, client, parsed, version):
+        """Tell whether a version is in force on every balancer."""
+        return await check_version(client, version)
+
+
+COMMAND = TemplateCommand()
--- /dev/null
+++ b/src/liftmount/_internal/decisions/lease.py
@@ -0,0 +1,173 @@
+"""The lease of a failure domain, with a fencing epoch.
+
+The platform's clock and this host's need not agree: a lease of another
+holder counts as lapsed when its version has not moved for its length on
+this host's own clock.  A lease is never trusted by itself: its holder
+writes conditionally, and whoever was paused finds that its write lost.
+"""
+
+from attrs import define
+from attrs import field
+from attrs import frozen
+
+from liftmount._internal.models.events import Tick
+
+RENEWALS_PER_LEASE = 3
+
+
+@frozen
+class LeaseValue:
+    """What the lease object holds."""
+
+    holder: str
+    incarnation: int
+    epoch: int
+    duration_ms: int
+    renewals: int = 0
+
+
+@frozen
+class LeaseRead:
+    """The lease object was read; ``value`` is None when there is none."""
+
+    value: LeaseValue | None
+    version: int
+    now_ms: int
+
+
+@frozen
+class LeaseWritten:
+    """A conditional write of the lease took effect."""
+
+    value: LeaseValue
+    version: int
+    asked_ms: int
+
+
+@frozen
+class LeaseWriteFailed:
+    """A write of the lease lost, or its answer was lost."""
+
+
+@frozen
+class ReadLease:
+    """Read the lease object."""
+
+
+@frozen
+class WriteLease:
+    """Write the lease if its version still is ``expected_version``.
+
+    Version 0 stands for an object that does not exist.
+    """
+
+    value: LeaseValue
+    expected_version: int
+
+
+@define
+class LeaseState:
+    """What one balancer knows of the lease of its failure domain."""
+
+    name: str
+    incarnation: int
+    duration_ms: int
+    value: LeaseValue | None = None
+    version: int = field(default=-1)
+    version_seen_ms: int = 0
+    held_until_ms: int = 0
+    next_step_ms: int = 0
+
+    def is_held(self, now_ms: int) -> bool:
+        """Tell whether this process may act as holder.
+
+        Counted from before the write was asked for, so the holder gives
+        up no later than others may take over.
+        """
+        return now_ms < self.held_until_ms
+
+    @property
+    def epoch(self) -> int:
+        """Return the fencing epoch last seen."""
+        return self.value.epoch if self.value else 0
+
+
+def decide(state: LeaseState, event, is_candidate: bool = True) -> list:
+    """Return the actions for an event.
+
+    Only a candidate takes or renews the lease.
+    """
+    match event:
+        case LeaseRead():
+            return _read(state, event, is_candidate)
+        case LeaseWritten():
+            _note(state, event.value, event.version, event.asked_ms)
+            state.held_until_ms = event.asked_ms + state.duration_ms
+            return []
+        case LeaseWriteFailed():
+            state.held_until_ms = 0
+            state.version = -1
+            return []
+        case Tick():
+            return _tick(state, event.now_ms, is_candidate)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _note(state, value, version, now_ms):
+    if version != state.version:
+        state.version_seen_ms = now_ms
+    state.value = value
+    state.version = version
+
+
+def _is_own(state):
+    value = state.value
+    if value is None:
+        return False
+    own = (state.name, state.incarnation)
+    return (value.holder, value.incarnation) == own
+
+
+def _tick(state, now_ms, is_candidate):
+    if not is_candidate:
+        state.held_until_ms = 0
+        return []
+    if now_ms < state.next_step_ms:
+        return []
+    state.next_step_ms = now_ms + state.duration_ms // RENEWALS_PER_LEASE
+    if state.is_held(now_ms) and _is_own(state):
+        return [WriteLease(_renewed(state), state.version)]
+    return [ReadLease()]
+
+
+def _renewed(state):
+    return LeaseValue(
+        holder=state.name,
+        incarnation=state.incarnation,
+        epoch=state.value.epoch,
+        duration_ms=state.duration_ms,
+        renewals=state.value.renewals + 1,
+    )
+
+
+def _read(state, event, is_candidate):
+    _note(state, event.value, event.version, event.now_ms)
+    if not is_candidate:
+        return []
+    if event.value is None:
+        return [WriteLease(_taken(state), 0)]
+    if _is_own(state):
+        return [WriteLease(_renewed(state), event.version)]
+    unmoved_ms = event.now_ms - state.version_seen_ms
+    if unmoved_ms >= event.value.duration_ms:
+        return [WriteLease(_taken(state), event.version)]
+    return []
+
+
+def _taken(state):
+    return LeaseValue(
+        holder=state.name,
+        incarnation=state.incarnation,
+        epoch=state.epoch + 1,
+        duration_ms=state.duration_ms,
+    )
--- /dev/null
+++ b/src/liftmount/_internal/decisions/ownership.py
@@ -0,0 +1,90 @@
+"""Which balancer owns a pool: rendezvous hashing over live members.
+
+The owner opens the flows of a pool and so sees all of its load.  Only a
+hint: two balancers that disagree for a while place less evenly, and
+nothing else suffers.
+"""
+
+from hashlib import blake2b
+
+from attrs import define
+from attrs import Factory
+
+SCORE_BYTES = 8
+
+
+def score(key: str, member: str) -> int:
+    """Return the rendezvous score of ``member`` for ``key``."""
+    text = f'{key}|{member}'.encode()
+    digest = blake2b(text, digest_size=SCORE_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def rank(key: str, members) -> list[str]:
+    """Return the members in rendezvous order, the owner first."""
+    return sorted(members, key=lambda one: score(key, one), reverse=True)
+
+
+@define
+class Ownership:
+    """The owner of each pool, kept up to date member by member.
+
+    ``domains`` maps each eligible member to its failure domain.  A join
+    costs one hash for each pool looked up so far; a leave costs one hash
+    per member for each pool of the leaver.
+    """
+
+    domains: dict[str, str] = Factory(dict)
+    _owners: dict = Factory(dict)
+
+    def add(self, member: str, failure_domain: str) -> None:
+        """Make ``member`` eligible."""
+        if self.domains.get(member) == failure_domain:
+            return
+        self.remove(member)
+        self.domains[member] = failure_domain
+        for pool, (owner, wanted) in list(self._owners.items()):
+            if self._beats(pool, member, owner, wanted):
+                self._owners[pool] = (member, wanted)
+
+    def remove(self, member: str) -> None:
+        """Make ``member`` no longer eligible."""
+        if self.domains.pop(member, None) is None:
+            return
+        for pool, (owner, _wanted) in list(self._owners.items()):
+            if owner == member:
+                del self._owners[pool]
+
+    def update(self, eligible: dict[str, str]) -> None:
+        """Make exactly the members of ``eligible`` eligible."""
+        for member in set(self.domains) - set(eligible):
+            self.remove(member)
+        for member, failure_domain in eligible.items():
+            self.add(member, failure_domain)
+
+    def owner(self, pool: str, wanted: frozenset[str]) -> str | None:
+        """Return the owner of a pool with targets in ``wanted`` domains.
+
+        Members of these domains come first, so that the owner is close
+        to the targets; None when there is no eligible member.
+        """
+        known = self._owners.get(pool)
+        if known is not None and known[1] == wanted:
+            return known[0]
+        if not self.domains:
+            return None
+        found = max(
+            self.domains,
+            key=lambda one: self._weight(pool, one, wanted),
+        )
+        self._owners[pool] = (found, wanted)
+        return found
+
+    def _weight(self, pool, member, wanted):
+        return (self.domains[member] in wanted, score(pool, member))
+
+    def _beats(self, pool, member, owner, wanted):
+        if owner not in self.domains:
+            return True
+        challenger = self._weight(pool, member, wanted)
+        return challenger > self._weight(pool, owner, wanted)
--- /dev/null
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -0,0 +1,281 @@
+"""Placement: which target of a pool gets the next request or flow.
+
+The owner of a pool sees all of its load, so it equalises what the users
+call imbalance directly: work over true capacity is the time that a
+target's slots are busy.  The next request goes to the free target whose
+slots were least busy of late; slower targets are busier for longer, and
+so get less without anyone measuring their speed.
+"""
+
+from attrs import define
+from attrs import Factory
+from attrs import frozen
+
+from liftmount._internal.decisions.capacity import BusyShare
+from liftmount._internal.decisions.capacity import Capacity
+
+FADE_MS = 4_000.0
+RAMP_MS = 20_000
+RAMP_START = 0.1
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION_MS = 1_000
+LONGEST_EJECTION_MS = 30_000
+MAX_EJECTED_SHARE = 0.5
+# Beyond this many targets a sample is compared instead of all of them.
+COMPARE_ALL = 24
+SAMPLE = 16
+# Weight of what runs now beside the fading share; breaks ties between
+# targets whose share is equal and spreads bursts.
+IN_PROGRESS_WEIGHT = 0.05
+# A target of the owner's own failure domain wins near ties.
+REMOTE_PENALTY = 0.002
+_LCG_FACTOR = 6364136223846793005
+_LCG_STEP = 1442695040888963407
+_LCG_MASK = 2**64 - 1
+
+
+@frozen
+class TargetInfo:
+    """What configuration and instance list say of a target."""
+
+    name: str
+    failure_domain: str
+    incarnation: int = 0
+    leaving: bool = False
+
+
+@define
+class TargetLoad:
+    """A target as its owner sees it."""
+
+    name: str
+    failure_domain: str
+    incarnation: int
+    added_ms: int
+    busy: BusyShare
+    leaving: bool = False
+    in_progress: int = 0
+    open_streams: int = 0
+    capacity: Capacity = Factory(Capacity)
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
+
+    def ramp(self, now_ms: int) -> float:
+        """Return the share of new flows due to a target that is new."""
+        age_ms = now_ms - self.added_ms
+        return min(1.0, RAMP_START + (1 - RAMP_START) * age_ms / RAMP_MS)
+
+
+@define
+class Pool:
+    """The targets of one pool; ``failure_domain`` is that of the owner."""
+
+    key: str
+    failure_domain: str = ''
+    targets: dict[str, TargetLoad] = Factory(dict)
+    seed: int = 1
+    panics: int = 0
+
+    def update(self, infos, now_ms: int) -> None:
+        """Take over the targets that configuration lists."""
+        wanted = {info.name: info for info in infos}
+        for name in set(self.targets) - set(wanted):
+            del self.targets[name]
+        for info in wanted.values():
+            known = self.targets.get(info.name)
+            if known is None:
+                self.targets[info.name] = self._new(info, now_ms)
+            else:
+                known.leaving = info.leaving
+                known.failure_domain = info.failure_domain
+
+    def _new(self, info, now_ms):
+        # A newcomer counts as busy as the others, or it would be flooded.
+        busy = self.mean_busy(now_ms)
+        share = BusyShare(FADE_MS, busy, now_ms)
+        # The first targets of a pool have nobody to be compared with.
+        added_ms = now_ms if self.targets else now_ms - RAMP_MS
+        return TargetLoad(
+            name=info.name,
+            failure_domain=info.failure_domain,
+            incarnation=info.incarnation,
+            added_ms=added_ms,
+            busy=share,
+            leaving=info.leaving,
+        )
+
+    def seen(self, name: str, incarnation: int, now_ms: int) -> None:
+        """Note the incarnation that a target gave when it was met.
+
+        A target under a new incarnation starts afresh: what its
+        predecessor could carry says nothing about it.
+        """
+        target = self.targets.get(name)
+        if target is None or target.incarnation == incarnation:
+            return
+        if target.incarnation == 0:
+            target.incarnation = incarnation
+            return
+        info = TargetInfo(
+            name, target.failure_domain, incarnation, target.leaving
+        )
+        self.targets[name] = self._new(info, now_ms)
+
+    def mean_busy(self, now_ms: int) -> float:
+        """Return the mean share of busy slots over all targets."""
+        if not self.targets:
+            return 0.0
+        total = sum(
+            one.busy.update(one.in_progress, now_ms) / one.capacity.limit
+            for one in self.targets.values()
+        )
+        return total / len(self.targets)
+
+    def usable(self, now_ms: int) -> list[TargetLoad]:
+        """Return the targets that may get new work.
+
+        When more than half would be ejected, the fault is more likely on
+        this side, and ejections are ignored (panic).
+        """
+        present = [one for one in self.targets.values() if not one.leaving]
+        healthy = [one for one in present if now_ms >= one.ejected_until_ms]
+        if len(healthy) < len(present) * (1 - MAX_EJECTED_SHARE):
+            self.panics += 1
+            return present
+        return healthy
+
+    def choose(self, now_ms: int, avoid=()) -> TargetLoad | None:
+        """Return the target for one request, or None when all are full."""
+        usable = self._sample(self.usable(now_ms))
+        allowed = [one for one in usable if one.name not in avoid]
+        free = [one for one in allowed if _is_free(one)]
+        if free:
+            return min(free, key=lambda one: self._score(one, now_ms))
+        return self._choose_trial(allowed, now_ms)
+
+    def _choose_trial(self, allowed, now_ms):
+        ready = [
+            one
+            for one in allowed
+            if one.in_progress == one.capacity.limit
+            and one.capacity.may_try(now_ms)
+        ]
+        if not ready:
+            return None
+        return min(ready, key=lambda one: self._score(one, now_ms))
+
+    def choose_for_stream(self, now_ms: int, avoid=()) -> TargetLoad | None:
+        """Return the target for a long flow: fewest for its weight."""
+        usable = self._sample(self.usable(now_ms))
+        allowed = [one for one in usable if one.name not in avoid]
+        if not allowed:
+            return None
+        reference_ms = self._mean_latency_ms(allowed)
+
+        def load(one):
+            weight = stream_weight(one, reference_ms) * one.ramp(now_ms)
+            remote = one.failure_domain != self.failure_domain
+            return ((one.open_streams + 1) / weight, remote, one.name)
+
+        return min(allowed, key=load)
+
+    def _score(self, one, now_ms):
+        limit = one.capacity.limit
+        busy = one.busy.update(one.in_progress, now_ms) / limit
+        score = busy + IN_PROGRESS_WEIGHT * one.in_progress / limit
+        if one.failure_domain != self.failure_domain:
+            score += REMOTE_PENALTY
+        return score
+
+    def _sample(self, usable):
+        if len(usable) <= COMPARE_ALL:
+            return usable
+        return [usable[self._next() % len(usable)] for _ in range(SAMPLE)]
+
+    def _next(self):
+        self.seed = (self.seed * _LCG_FACTOR + _LCG_STEP) & _LCG_MASK
+        return self.seed >> 33
+
+    @staticmethod
+    def _mean_latency_ms(targets):
+        means = {}
+        for one in targets:
+            for service, latency_ms in one.capacity.latency_ms.items():
+                means.setdefault(service, []).append(latency_ms)
+        return {key: sum(v) / len(v) for key, v in means.items()}
+
+    def started(self, name: str, now_ms: int) -> int:
+        """Note a request sent to a target; return its concurrency level."""
+        target = self.targets[name]
+        target.busy.update(target.in_progress, now_ms)
+        target.in_progress += 1
+        return target.in_progress
+
+    def finished(self, name: str, now_ms: int) -> TargetLoad | None:
+        """Note the end of a request; None when the target is gone."""
+        target = self.targets.get(name)
+        if target is None:
+            return None
+        target.busy.update(target.in_progress, now_ms)
+        target.in_progress = max(0, target.in_progress - 1)
+        return target
+
+    def succeeded(self, name: str) -> None:
+        """Note that a target answered."""
+        target = self.targets.get(name)
+        if target is not None:
+            target.failures = 0
+            target.ejections = 0
+
+    def failed(self, name: str, now_ms: int) -> None:
+        """Note silence or a broken connection; may eject the target."""
+        target = self.targets.get(name)
+        if target is None or now_ms < target.ejected_until_ms:
+            return
+        target.failures += 1
+        if target.failures < FAILURES_TO_EJECT:
+            return
+        length_ms = FIRST_EJECTION_MS << min(target.ejections, 10)
+        length_ms = min(length_ms, LONGEST_EJECTION_MS)
+        target.ejected_until_ms = now_ms + length_ms
+        target.ejections += 1
+        # One more failure after the return ejects again, for longer.
+        target.failures = FAILURES_TO_EJECT - 1
+
+    def wait_ms(self, ahead: int, now_ms: int) -> float:
+        """Estimate how long a request waits behind ``ahead`` others."""
+        rate_per_ms = 0.0
+        for one in self.usable(now_ms):
+            latencies = one.capacity.latency_ms.values()
+            if latencies:
+                mean_ms = sum(latencies) / len(latencies)
+                rate_per_ms += one.capacity.limit / mean_ms
+        return ahead / rate_per_ms if rate_per_ms else 0.0
+
+    def latency_ms(self, service: str) -> float:
+        """Return the least mean latency of a service; 0 when unknown."""
+        known = [
+            one.capacity.latency_ms[service]
+            for one in self.targets.values()
+            if service in one.capacity.latency_ms
+        ]
+        return min(known, default=0.0)
+
+
+def _is_free(target) -> bool:
+    return target.in_progress < target.capacity.limit
+
+
+def stream_weight(target: TargetLoad, reference_ms: dict) -> float:
+    """Return how many flows a target deserves beside its peers.
+
+    The weight is its limit times its speed, where known.
+    """
+    speeds = [
+        reference_ms[service] / latency_ms
+        for service, latency_ms in target.capacity.latency_ms.items()
+        if service in reference_ms
+    ]
+    speed = sum(speeds) / len(speeds) if speeds else 1.0
+    return target.capacity.limit * speed
--- /dev/null
+++ b/src/liftmount/_internal/decisions/requests.py
@@ -0,0 +1,452 @@
+"""Requests at their home: numbers, admission, dispatch, verdicts.
+
+A request's number is closed before anything else happens, so whatever is
+decided afterwards, no copy of the request can run again.  NOT_RUN is said
+only here, and only while the request was never written to a target, or
+after the target itself said that it did not run it.
+"""
+
+from heapq import heappush
+
+from attrs import define
+
+from liftmount._internal.decisions.home import due
+from liftmount._internal.decisions.home import grant
+from liftmount._internal.decisions.home import HomeState
+from liftmount._internal.decisions.home import new_flow
+from liftmount._internal.decisions.home import refuse_flow
+from liftmount._internal.decisions.window import Claim
+from liftmount._internal.decisions.window import Window
+from liftmount._internal.models.actions import AskToRebind
+from liftmount._internal.models.actions import CountRefusal
+from liftmount._internal.models.actions import CountRetry
+from liftmount._internal.models.actions import Reply
+from liftmount._internal.models.actions import SendCancel
+from liftmount._internal.models.actions import SendRequest
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.configuration import Service
+from liftmount._internal.models.events import CancelArrived
+from liftmount._internal.models.events import CloseArrived
+from liftmount._internal.models.events import FlowAsked
+from liftmount._internal.models.events import KeepaliveArrived
+from liftmount._internal.models.events import RequestArrived
+from liftmount._internal.models.events import RequestLost
+from liftmount._internal.models.events import TargetAnswered
+from liftmount._internal.models.events import TargetRefused
+from liftmount._internal.models.events import Tick
+from liftmount._internal.models.reasons import Reason
+from liftmount._internal.models.verdict import Outcome
+from liftmount._internal.models.verdict import Verdict
+
+MAX_ATTEMPTS = 4
+RETRY_AFTER_MS = 500
+MAX_RETRY_AFTER_MS = 30_000
+# A target that neither answers nor breaks its connection holds its slot
+# this long after the deadline; then the slot is counted as lost.
+SILENCE_MS = 10_000
+
+
+@define(eq=False)
+class Pending:
+    """A request between its arrival and its end.
+
+    ``finished`` means that its caller has the final answer, while the
+    target may still be at work on it.
+    """
+
+    request_id: int
+    nonce: int
+    service: Service
+    caller: Endpoint
+    flow_id: bytes
+    number: int
+    deadline_at_ms: int
+    arrived_ms: int
+    body: bytes
+    target: str = ''
+    level: int = 0
+    sent_ms: int = 0
+    attempts: int = 0
+    avoid: tuple = ()
+    finished: bool = False
+
+
+def decide(state: HomeState, event) -> list:
+    """Return the actions for one event of a request service."""
+    match event:
+        case RequestArrived():
+            return _arrived(state, event)
+        case TargetAnswered():
+            return _answered(state, event)
+        case TargetRefused():
+            return _refused(state, event)
+        case RequestLost():
+            return _lost(state, event)
+        case CancelArrived():
+            return _cancelled(state, event)
+        case FlowAsked():
+            return _flow_asked(state, event)
+        case KeepaliveArrived():
+            return _keepalive(state, event)
+        case CloseArrived():
+            state.flows.remove(event.nonce)
+            return []
+        case Tick():
+            return _tick(state, event.now_ms)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _flow_asked(state, event):
+    known = state.flows.find(event.caller, event.flow_id)
+    if known is not None and known.service == event.service:
+        known.seen_ms = event.now_ms
+        return [grant(known)]
+    if state.flows.is_full():
+        return refuse_flow(event, Reason.FLOW_LIMIT)
+    flow = new_flow(event)
+    state.flows.add(flow)
+    return [grant(flow)]
+
+
+def _keepalive(state, event):
+    flow = state.flows.get(event.nonce)
+    if flow is None:
+        return [CountRefusal(Reason.FLOW_UNKNOWN)]
+    flow.seen_ms = event.now_ms
+    state.flows.move(flow, event.caller)
+    # The caller asks for a sign of life before it commits a request.
+    return _rebind_if_leaving(state, flow) or [grant(flow)]
+
+
+def _rebind_if_leaving(state, flow):
+    if not state.leaving:
+        return []
+    return [
+        AskToRebind(
+            caller=flow.caller,
+            address=flow.service.address,
+            flow_id=flow.flow_id,
+            reason=Reason.BALANCER_LEAVING,
+        )
+    ]
+
+
+def _arrived(state, event):
+    flow = state.flows.get(event.nonce)
+    if flow is None:
+        return [CountRefusal(Reason.FLOW_UNKNOWN)]
+    flow.seen_ms = event.now_ms
+    state.flows.move(flow, event.caller)
+    if flow.window is None:
+        flow.window = Window()
+    claim = flow.window.claim(event.number)
+    if claim is not Claim.NEW:
+        return _arrived_again(state, flow, event.number, claim)
+    request = _make_pending(state, flow, event)
+    reason = _admission_problem(state, request, event.now_ms)
+    if reason is not None:
+        return _refuse(state, request, reason, event.now_ms)
+    actions = _rebind_if_leaving(state, flow)
+    actions += _enqueue(state, request, event.now_ms)
+    return actions + _dispatch(state, flow.service.pool_key, event.now_ms)
+
+
+def _arrived_again(state, flow, number, claim):
+    key = (flow.nonce, number)
+    if key in state.by_number:
+        return []
+    outcome = state.answers.get(key)
+    if outcome is None:
+        reason = None
+        if claim is Claim.TOO_OLD:
+            reason = Reason.NUMBER_TOO_OLD
+        outcome = Outcome(Verdict.MAY_HAVE_RUN, reason=reason)
+    reply = Reply(
+        caller=flow.caller,
+        address=flow.service.address,
+        flow_id=flow.flow_id,
+        number=number,
+        outcome=outcome,
+    )
+    return [reply]
+
+
+def _make_pending(state, flow, event):
+    limit_ms = flow.service.deadline_ms
+    deadline_ms = min(event.deadline_ms or limit_ms, limit_ms)
+    request = Pending(
+        request_id=state.next_request_id,
+        nonce=flow.nonce,
+        service=flow.service,
+        caller=flow.caller,
+        flow_id=flow.flow_id,
+        number=event.number,
+        deadline_at_ms=event.now_ms + deadline_ms,
+        arrived_ms=event.now_ms,
+        body=event.body,
+    )
+    state.next_request_id += 1
+    return request
+
+
+def _admission_problem(state, request, now_ms):
+    """Return why a request cannot be taken, or None."""
+    pool_state = state.pool_state(request.service.pool_key)
+    pool = pool_state.pool
+    if not pool.usable(now_ms):
+        return Reason.NO_TARGET
+    ahead = pool_state.queue.ahead(request.service.priority)
+    expected_ms = pool.latency_ms(request.service.name)
+    if ahead:
+        expected_ms += pool.wait_ms(ahead, now_ms)
+    if now_ms + expected_ms > request.deadline_at_ms:
+        return Reason.DEADLINE_CANNOT_BE_MET
+    return None
+
+
+def _enqueue(state, request, now_ms):
+    pool_state = state.pool_state(request.service.pool_key)
+    queue = pool_state.queue
+    priority = request.service.priority
+    actions = []
+    if queue.waiting(priority) >= max(1, request.service.max_queue):
+        return _refuse(state, request, Reason.QUEUE_FULL, now_ms)
+    if len(queue) >= _total_bound(request.service):
+        displaced = queue.displace(priority)
+        if displaced is None:
+            return _refuse(state, request, Reason.QUEUE_FULL, now_ms)
+        reason = Reason.DISPLACED_BY_URGENT
+        actions = _refuse(state, displaced, reason, now_ms)
+    pool_state.budget.earn()
+    state.pending[request.request_id] = request
+    state.by_number[request.nonce, request.number] = request.request_id
+    heappush(state.deadlines, (request.deadline_at_ms, request.request_id))
+    queue.push(priority, request)
+    return actions
+
+
+def _total_bound(service):
+    # All classes of a pool together hold twice what one service may.
+    return 2 * max(1, service.max_queue)
+
+
+def _dispatch(state, pool_key, now_ms):
+    pool_state = state.pool_state(pool_key)
+    actions = []
+    while len(pool_state.queue):
+        if pool_state.pool.choose(now_ms) is None:
+            break
+        request = pool_state.queue.pop()
+        target = pool_state.pool.choose(now_ms, request.avoid)
+        if target is None:
+            # Only targets that shed it before are free: try one again.
+            target = pool_state.pool.choose(now_ms)
+        actions.append(_send(pool_state.pool, request, target, now_ms))
+    return actions
+
+
+def _send(pool, request, target, now_ms):
+    request.target = target.name
+    request.level = pool.started(target.name, now_ms)
+    request.sent_ms = now_ms
+    request.attempts += 1
+    return SendRequest(
+        target=target.name,
+        request_id=request.request_id,
+        service=request.service,
+        body=request.body,
+        deadline_ms=max(1, request.deadline_at_ms - now_ms),
+    )
+
+
+def _finish(state, request, outcome, now_ms):
+    """Give the final answer, keep it, and close the books."""
+    key = (request.nonce, request.number)
+    request.finished = True
+    request.body = b''
+    state.by_number.pop(key, None)
+    state.answers.put(key, outcome, now_ms)
+    return Reply(
+        caller=request.caller,
+        address=request.service.address,
+        flow_id=request.flow_id,
+        number=request.number,
+        outcome=outcome,
+    )
+
+
+def _refuse(state, request, reason, now_ms):
+    """Say NOT_RUN of a request that no target has or will run."""
+    state.pending.pop(request.request_id, None)
+    outcome = Outcome(
+        Verdict.NOT_RUN,
+        reason=reason,
+        retry_after_ms=_retry_after_ms(state, request.service, now_ms),
+    )
+    reply = _finish(state, request, outcome, now_ms)
+    return [CountRefusal(reason), reply]
+
+
+def _retry_after_ms(state, service, now_ms):
+    pool_state = state.pool_state(service.pool_key)
+    ahead = pool_state.queue.ahead(service.priority)
+    wait_ms = pool_state.pool.wait_ms(ahead, now_ms)
+    return int(min(MAX_RETRY_AFTER_MS, max(RETRY_AFTER_MS, wait_ms)))
+
+
+def _answered(state, event):
+    request = state.pending.pop(event.request_id, None)
+    if request is None:
+        return []
+    service = request.service
+    pool = state.pool_state(service.pool_key).pool
+    target = pool.finished(request.target, event.now_ms)
+    pool.succeeded(request.target)
+    if target is not None:
+        latency_ms = event.now_ms - request.sent_ms
+        target.capacity.completed(
+            service.name, request.level, latency_ms, event.now_ms
+        )
+    actions = []
+    if not request.finished:
+        outcome = Outcome(Verdict.RAN, event.body)
+        actions = [_finish(state, request, outcome, event.now_ms)]
+    return actions + _dispatch(state, service.pool_key, event.now_ms)
+
+
+def _refused(state, event):
+    request = state.pending.get(event.request_id)
+    if request is None:
+        return []
+    now_ms = event.now_ms
+    pool_state = state.pool_state(request.service.pool_key)
+    target = pool_state.pool.finished(request.target, now_ms)
+    if target is not None and not event.cancelled:
+        target.capacity.shed(request.level, now_ms)
+    actions = _after_refusal(state, pool_state, request, event)
+    return actions + _dispatch(state, request.service.pool_key, now_ms)
+
+
+def _after_refusal(state, pool_state, request, event):
+    now_ms = event.now_ms
+    if request.finished:
+        del state.pending[request.request_id]
+        return []
+    if event.cancelled:
+        return _refuse(state, request, Reason.CANCELLED, now_ms)
+    if _may_retry(pool_state, request, now_ms):
+        request.avoid += (request.target,)
+        return _requeue(pool_state, request, Reason.RETRY_SHED)
+    return _refuse(state, request, Reason.TARGET_SHED, now_ms)
+
+
+def _may_retry(pool_state, request, now_ms):
+    if request.attempts >= MAX_ATTEMPTS:
+        return False
+    if now_ms >= request.deadline_at_ms:
+        return False
+    return pool_state.budget.spend()
+
+
+def _requeue(pool_state, request, reason):
+    request.target = ''
+    pool_state.queue.push(request.service.priority, request, front=True)
+    return [CountRetry(reason)]
+
+
+def _lost(state, event):
+    request = state.pending.get(event.request_id)
+    if request is None:
+        return []
+    now_ms = event.now_ms
+    pool_state = state.pool_state(request.service.pool_key)
+    pool_state.pool.finished(request.target, now_ms)
+    pool_state.pool.failed(request.target, now_ms)
+    if request.finished:
+        del state.pending[request.request_id]
+        actions = []
+    elif not event.written or request.service.repeatable:
+        actions = _after_loss(state, pool_state, request, event)
+    else:
+        actions = _in_doubt(state, request, Reason.TARGET_LOST, now_ms)
+        state.pending.pop(request.request_id, None)
+    return actions + _dispatch(state, request.service.pool_key, now_ms)
+
+
+def _after_loss(state, pool_state, request, event):
+    reason = Reason.RETRY_NOT_WRITTEN
+    if event.written:
+        reason = Reason.RETRY_CONNECTION_LOST
+    if _may_retry(pool_state, request, event.now_ms):
+        request.avoid += (request.target,)
+        return _requeue(pool_state, request, reason)
+    actions = [CountRetry(Reason.RETRY_BUDGET_SPENT)]
+    if event.written:
+        state.pending.pop(request.request_id, None)
+        lost = Reason.TARGET_LOST
+        return actions + _in_doubt(state, request, lost, event.now_ms)
+    return actions + _refuse(state, request, Reason.NO_TARGET, event.now_ms)
+
+
+def _in_doubt(state, request, reason, now_ms):
+    outcome = Outcome(Verdict.MAY_HAVE_RUN, reason=reason)
+    reply = _finish(state, request, outcome, now_ms)
+    return [CountRefusal(reason), reply]
+
+
+def _cancelled(state, event):
+    flow = state.flows.get(event.nonce)
+    if flow is None:
+        return []
+    if flow.window is None:
+        flow.window = Window()
+    request_id = state.by_number.get((event.nonce, event.number))
+    if request_id is None:
+        return _cancelled_early(state, flow, event)
+    request = state.pending[request_id]
+    if request.target:
+        return [SendCancel(request.target, request_id)]
+    queue = state.pool_state(request.service.pool_key).queue
+    queue.remove(request.service.priority, request)
+    return _refuse(state, request, Reason.CANCELLED, event.now_ms)
+
+
+def _cancelled_early(state, flow, event):
+    """Close the number of a request that has not arrived yet."""
+    if flow.window.claim(event.number) is not Claim.NEW:
+        return []
+    arrival = RequestArrived(
+        event.nonce, flow.caller, event.number, 0, b'', event.now_ms
+    )
+    request = _make_pending(state, flow, arrival)
+    return _refuse(state, request, Reason.CANCELLED, event.now_ms)
+
+
+def _tick(state, now_ms):
+    actions = []
+    for request_id in due(state.deadlines, now_ms):
+        request = state.pending.get(request_id)
+        if request is not None:
+            actions += _deadline_passed(state, request, now_ms)
+    state.answers.expire(now_ms)
+    for key in list(state.pools):
+        actions += _dispatch(state, key, now_ms)
+    return actions
+
+
+def _deadline_passed(state, request, now_ms):
+    pool_state = state.pool_state(request.service.pool_key)
+    if not request.target:
+        pool_state.queue.remove(request.service.priority, request)
+        return _refuse(state, request, Reason.DEADLINE_PASSED, now_ms)
+    if request.finished:
+        # Its target was silent for long after the deadline.
+        del state.pending[request.request_id]
+        pool_state.pool.finished(request.target, now_ms)
+        return []
+    pool_state.pool.failed(request.target, now_ms)
+    silent_at_ms = now_ms + SILENCE_MS
+    heappush(state.deadlines, (silent_at_ms, request.request_id))
+    cancel = SendCancel(request.target, request.request_id)
+    doubt = _in_doubt(state, request, Reason.DEADLINE_PASSED, now_ms)
+    return [cancel, *doubt]
--- /dev/null
+++ b/src/liftmount/_internal/decisions/rollout.py
@@ -0,0 +1,276 @@
+"""Configuration as one balancer holds it: versions only grow.
+
+The digest of all versions is compared with those of peers; whoever lacks
+something asks for the difference.  An invalid object leaves the last
+valid one in force.
+"""
+
+from hashlib import blake2b
+
+from attrs import define
+from attrs import evolve
+from attrs import Factory
+
+from liftmount._internal.decisions.pool import TargetInfo
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.configuration import parse_team
+from liftmount._internal.models.configuration import parse_template
+from liftmount._internal.models.configuration import resolve_services
+from liftmount._internal.models.configuration import Service
+from liftmount._internal.models.configuration import Target
+from liftmount._internal.models.configuration import Team
+from liftmount._internal.models.objects import Claim
+from liftmount._internal.models.objects import ClaimState
+from liftmount._internal.models.objects import Drain
+from liftmount._internal.models.objects import FlowKeys
+from liftmount._internal.models.objects import InstanceEntry
+from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.models.objects import StoredObject
+from liftmount._internal.models.objects import Written
+from liftmount._internal.models.problems import Problem
+from liftmount._internal.utils.documents import structure
+
+DIGEST_BYTES = 8
+LEAVING = 'leaving'
+
+
+def target_name(team: str, name: str) -> str:
+    """Return the name of a target that is unique among all teams."""
+    return f'{team}/{name}'
+
+
+def _parse_written(parse_document):
+    def parse(value, source):
+        written = structure(value, Written, source)
+        return parse_document(written.document, source)
+
+    return parse
+
+
+def _parse_any(kind):
+    def parse(document, source):
+        return structure(document, kind, source)
+
+    return parse
+
+
+_PARSERS = {
+    ObjectKind.TEMPLATE.value: _parse_written(parse_template),
+    ObjectKind.TEAM.value: _parse_written(parse_team),
+    ObjectKind.FLOW_KEY.value: _parse_any(FlowKeys),
+    ObjectKind.CLAIM.value: _parse_any(Claim),
+    ObjectKind.DRAIN.value: _parse_any(Drain),
+    ObjectKind.INSTANCE.value: _parse_any(InstanceEntry),
+}
+
+
+@define
+class ObjectStore:
+    """The newest version of each object that this balancer has met.
+
+    ``valid`` holds, for each key, the newest content that was valid.
+    """
+
+    objects: dict[str, StoredObject] = Factory(dict)
+    valid: dict[str, object] = Factory(dict)
+    problems: dict[str, list[Problem]] = Factory(dict)
+    revision: int = 0
+    _digest: int = 0
+
+    @property
+    def digest(self) -> bytes:
+        """Return a digest of the keys and versions of configuration."""
+        return self._digest.to_bytes(DIGEST_BYTES, 'big')
+
+    def apply(self, item: StoredObject) -> bool:
+        """Take an object over; return False for one that is not newer."""
+        known = self.objects.get(item.key)
+        if known is not None:
+            if item.version <= known.version:
+                return False
+            self._mix(known)
+        self.objects[item.key] = item
+        self._mix(item)
+        self._parse(item)
+        return True
+
+    def _mix(self, item):
+        # Each failure domain reads the instance list for itself, so it is
+        # not part of what all must hold alike.
+        if item.kind == ObjectKind.INSTANCE.value:
+            return
+        self._digest ^= _hash(item)
+        self.revision = max(self.revision, item.version)
+
+    def _parse(self, item):
+        self.problems.pop(item.key, None)
+        if item.value is None:
+            self.valid.pop(item.key, None)
+            return
+        parser = _PARSERS.get(item.kind)
+        if parser is None:
+            return
+        try:
+            content = parser(item.value, item.key)
+            self._check_name(item, content)
+        except ConfigurationError as error:
+            self.problems[item.key] = error.problems
+            return
+        self.valid[item.key] = content
+
+    @staticmethod
+    def _check_name(item, content):
+        named = item.kind in ('template', 'team')
+        if named and content.name != item.name:
+            text = f'expected the name of the object, {item.name}'
+            problem = Problem(item.key, 'name', repr(content.name), text)
+            raise ConfigurationError([problem])
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each object, deleted ones included."""
+        return {key: item.version for key, item in self.objects.items()}
+
+    def newer_than(self, versions: dict[str, int]) -> list[StoredObject]:
+        """Return the objects that someone with ``versions`` lacks."""
+        return [
+            item
+            for key, item in self.objects.items()
+            if item.version > versions.get(key, 0)
+        ]
+
+    def of_kind(self, kind: ObjectKind) -> dict[str, object]:
+        """Return the valid contents of one kind, by name."""
+        prefix = kind.value + '/'
+        start = len(prefix)
+        return {
+            key[start:]: content
+            for key, content in self.valid.items()
+            if key.startswith(prefix)
+        }
+
+
+def _hash(item):
+    text = f'{item.key}@{item.version}'.encode()
+    digest = blake2b(text, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+@define
+class ConfigurationView:
+    """What follows from the store: who serves what, with which targets.
+
+    ``services`` has only addresses whose claim names the service.
+    ``wanted`` maps each address to the services that ask for it.
+    """
+
+    services: dict[Endpoint, Service] = Factory(dict)
+    wanted: dict[Endpoint, list[Service]] = Factory(dict)
+    pools: dict[str, list[Target]] = Factory(dict)
+    pool_domains: dict[str, frozenset] = Factory(dict)
+    drained: frozenset = frozenset()
+    instances: dict[str, InstanceEntry] = Factory(dict)
+    keys: FlowKeys | None = None
+    problems: dict[str, list[Problem]] = Factory(dict)
+
+    def target_infos(self, pool_key: str) -> list[TargetInfo]:
+        """Return the targets of a pool as placement takes them."""
+        team = pool_key.partition('/')[0]
+        infos = []
+        for target in self.pools.get(pool_key, ()):
+            name = target_name(team, target.name)
+            leaving = self.is_leaving(name)
+            infos.append(
+                TargetInfo(name, target.failure_domain, leaving=leaving)
+            )
+        return infos
+
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether an operator or the instance list says so."""
+        if name in self.drained:
+            return True
+        entry = self.instances.get(name)
+        return entry is not None and entry.state == LEAVING
+
+
+@define
+class _Resolved:
+    team: Team
+    template: object
+    services: list
+    problems: list
+
+
+@define
+class ViewBuilder:
+    """Builds the view; teams that did not change are not read again."""
+
+    _cache: dict = Factory(dict)
+
+    def build(self, store: ObjectStore) -> ConfigurationView:
+        """Return the view of what the store holds."""
+        templates = store.of_kind(ObjectKind.TEMPLATE)
+        teams = store.of_kind(ObjectKind.TEAM)
+        claims = store.of_kind(ObjectKind.CLAIM)
+        drains = store.of_kind(ObjectKind.DRAIN)
+        keys = store.of_kind(ObjectKind.FLOW_KEY).get('current')
+        view = ConfigurationView(
+            drained=frozenset(drains),
+            instances=store.of_kind(ObjectKind.INSTANCE),
+            keys=keys,
+            problems=dict(store.problems),
+        )
+        for name in set(self._cache) - set(teams):
+            del self._cache[name]
+        for name, team in teams.items():
+            self._add_team(view, name, team, templates, claims)
+        return view
+
+    def _add_team(self, view, name, team, templates, claims):
+        template = templates.get(team.template)
+        resolved = self._resolve(name, team, template)
+        if resolved.problems:
+            view.problems[f'team/{name}'] = resolved.problems
+        for service in resolved.services:
+            _add_service(view, service, claims)
+        for target in resolved.team.targets:
+            pool_key = f'{name}/{target.pool}'
+            view.pools.setdefault(pool_key, []).append(target)
+            known = view.pool_domains.get(pool_key, frozenset())
+            if target.failure_domain not in known:
+                domains = known | {target.failure_domain}
+                view.pool_domains[pool_key] = domains
+
+    def _resolve(self, name, team, template):
+        cached = self._cache.get(name)
+        if cached and cached.team is team and cached.template is template:
+            return cached
+        source = f'team/{name}'
+        try:
+            if template is None:
+                text = 'there is no such template'
+                value = repr(team.template)
+                problem = Problem(source, 'template', value, text)
+                raise ConfigurationError([problem])
+            services = resolve_services(team, template, source)
+        except ConfigurationError as error:
+            # The team as it last fitted its template stays in force.
+            last = cached or _Resolved(team, None, [], [])
+            services = last.services
+            resolved = _Resolved(last.team, template, services, error.problems)
+            return resolved
+        resolved = _Resolved(team, template, services, [])
+        self._cache[name] = resolved
+        return resolved
+
+
+def _add_service(view, service, claims):
+    address = service.address
+    view.wanted.setdefault(address, []).append(service)
+    claim = claims.get(str(address))
+    if claim is None or claim.state != ClaimState.HELD.value:
+        return
+    if (claim.team, claim.service) != (service.team, service.name):
+        return
+    granted = evolve(service, generation=claim.generation)
+    view.services[address] = granted
--- /dev/null
+++ b/src/liftmount/_internal/decisions/streams.py
@@ -0,0 +1,208 @@
+"""Streams at their home: placement, pushes, repair and moves.
+
+A stream belongs to its service, not to a target: any target can go on
+from a sequence number.  So a stream survives its home and its target, and
+a planned change moves it before anything is cut.
+"""
+
+from liftmount._internal.decisions.home import grant
+from liftmount._internal.decisions.home import HomeState
+from liftmount._internal.decisions.home import new_flow
+from liftmount._internal.decisions.home import refuse_flow
+from liftmount._internal.models.actions import AskToRebind
+from liftmount._internal.models.actions import AttachStream
+from liftmount._internal.models.actions import CountRefusal
+from liftmount._internal.models.actions import CountRetry
+from liftmount._internal.models.actions import DetachStream
+from liftmount._internal.models.actions import SendPush
+from liftmount._internal.models.events import CloseArrived
+from liftmount._internal.models.events import FlowAsked
+from liftmount._internal.models.events import KeepaliveArrived
+from liftmount._internal.models.events import PushArrived
+from liftmount._internal.models.events import StreamLost
+from liftmount._internal.models.reasons import Reason
+
+# A caller that still lacks a push this long after it was handed out has
+# lost it; a keepalive just under way says nothing yet.
+REPAIR_AFTER_MS = 60
+
+
+def decide(state: HomeState, event) -> list:
+    """Return the actions for one event of a stream service."""
+    match event:
+        case PushArrived():
+            return _pushed(state, event)
+        case KeepaliveArrived():
+            return _keepalive(state, event)
+        case FlowAsked():
+            return _flow_asked(state, event)
+        case StreamLost():
+            return _lost(state, event)
+        case CloseArrived():
+            return _closed(state, event.nonce)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _flow_asked(state, event):
+    known = state.flows.find(event.caller, event.flow_id)
+    if known is not None and known.service == event.service:
+        known.seen_ms = event.now_ms
+        return [grant(known)]
+    if state.flows.is_full():
+        return refuse_flow(event, Reason.FLOW_LIMIT)
+    pool = state.pool_state(event.service.pool_key).pool
+    target = _kept_target(pool, event)
+    if target is None:
+        target = pool.choose_for_stream(event.now_ms)
+    if target is None:
+        return refuse_flow(event, Reason.NO_TARGET)
+    flow = new_flow(event, target.name, target.incarnation)
+    state.flows.add(flow)
+    target.open_streams += 1
+    return [grant(flow), _attach(flow)]
+
+
+def _kept_target(pool, event):
+    """Return the target that the stream had, while it may stay there."""
+    target = pool.targets.get(event.target)
+    if target is None or target not in pool.usable(event.now_ms):
+        return None
+    if event.target_incarnation not in (0, target.incarnation):
+        return None
+    return target
+
+
+def _attach(flow):
+    return AttachStream(
+        target=flow.target,
+        nonce=flow.nonce,
+        service=flow.service,
+        name=flow.name,
+        sequence=flow.acknowledged,
+    )
+
+
+def _pushed(state, event):
+    flow = state.flows.get(event.nonce)
+    if flow is None:
+        return [DetachStream(event.target, event.nonce)]
+    if flow.target != event.target:
+        return []
+    flow.pushed = max(flow.pushed, event.sequence)
+    flow.pushed_ms = event.now_ms
+    push = SendPush(
+        caller=flow.caller,
+        address=flow.service.address,
+        flow_id=flow.flow_id,
+        sequence=event.sequence,
+        body=event.body,
+    )
+    return [push]
+
+
+def _keepalive(state, event):
+    flow = state.flows.get(event.nonce)
+    if flow is None:
+        return [CountRefusal(Reason.FLOW_UNKNOWN)]
+    flow.seen_ms = event.now_ms
+    state.flows.move(flow, event.caller)
+    flow.acknowledged = max(flow.acknowledged, event.sequence)
+    reason = _reason_to_move(state, flow)
+    actions = []
+    if reason is not None:
+        actions.append(_ask_to_rebind(flow, reason))
+    lacks_push = flow.acknowledged < flow.pushed
+    if lacks_push and event.now_ms - flow.pushed_ms >= REPAIR_AFTER_MS:
+        flow.pushed_ms = event.now_ms
+        actions.append(_attach(flow))
+    return actions
+
+
+def _reason_to_move(state, flow):
+    if state.leaving:
+        return Reason.BALANCER_LEAVING
+    pool = state.pool_state(flow.service.pool_key).pool
+    target = pool.targets.get(flow.target)
+    if target is None:
+        return Reason.TARGET_LOST
+    if not flow.target_incarnation:
+        # The flow was opened before the target was met.
+        flow.target_incarnation = target.incarnation
+    if target.incarnation != flow.target_incarnation:
+        return Reason.TARGET_REPLACED
+    if target.leaving:
+        return Reason.TARGET_LEAVING
+    return None
+
+
+def _ask_to_rebind(flow, reason):
+    return AskToRebind(
+        caller=flow.caller,
+        address=flow.service.address,
+        flow_id=flow.flow_id,
+        reason=reason,
+    )
+
+
+def moves(state: HomeState) -> list:
+    """Return the requests to rebind for all flows that have to move."""
+    actions = []
+    for flow in state.flows.flows.values():
+        if flow.service.mode == 'stream':
+            reason = _reason_to_move(state, flow)
+        else:
+            reason = Reason.BALANCER_LEAVING if state.leaving else None
+        if reason is not None:
+            actions.append(_ask_to_rebind(flow, reason))
+    return actions
+
+
+def _lost(state, event):
+    """Go on at another target, from what the caller has."""
+    flow = state.flows.get(event.nonce)
+    if flow is None or flow.target != event.target:
+        return []
+    pool = state.pool_state(flow.service.pool_key).pool
+    _release(pool, flow)
+    pool.failed(flow.target, event.now_ms)
+    target = pool.choose_for_stream(event.now_ms, avoid=(flow.target,))
+    if target is None:
+        target = pool.choose_for_stream(event.now_ms)
+    if target is None:
+        state.flows.remove(flow.nonce)
+        return [
+            CountRefusal(Reason.NO_TARGET),
+            _ask_to_rebind(flow, Reason.NO_TARGET),
+        ]
+    flow.target = target.name
+    flow.target_incarnation = target.incarnation
+    target.open_streams += 1
+    retry = CountRetry(Reason.RETRY_CONNECTION_LOST)
+    return [retry, grant(flow), _attach(flow)]
+
+
+def _release(pool, flow):
+    target = pool.targets.get(flow.target)
+    if target is None:
+        return
+    if flow.target_incarnation in (0, target.incarnation):
+        target.open_streams = max(0, target.open_streams - 1)
+
+
+def _closed(state, nonce):
+    flow = state.flows.remove(nonce)
+    if flow is None:
+        return []
+    _release(state.pool_state(flow.service.pool_key).pool, flow)
+    return [DetachStream(flow.target, nonce)]
+
+
+def expire(state: HomeState, now_ms: int) -> list:
+    """Forget idle flows of both modes."""
+    actions = []
+    for flow in state.flows.idle(now_ms):
+        if flow.service.mode == 'stream':
+            actions += _closed(state, flow.nonce)
+        else:
+            state.flows.remove(flow.nonce)
+    return actions
--- /dev/null
+++ b/src/liftmount/_internal/decisions/token.py
@@ -0,0 +1,95 @@
+"""Flow tokens: what any balancer needs to know of a flow, under a MAC.
+
+Every packet of an open flow carries its token, as QUIC packets carry
+connection IDs that route them (draft-ietf-quic-load-balancers).  So any
+balancer can handle any packet without state of its own for the flow.
+"""
+
+from hashlib import blake2s
+from hmac import compare_digest
+
+from attrs import astuple
+from attrs import define
+from attrs import Factory
+from attrs import frozen
+import cbor2
+
+from liftmount._internal.exceptions import TokenError
+from liftmount._internal.models.reasons import Reason
+
+MAC_BYTES = 12
+_OUTER_FIELDS = 3
+
+
+@frozen
+class FlowToken:
+    """The content of a flow token.
+
+    ``home`` with ``home_incarnation`` names the one balancer process that
+    sequences the flow's requests.  ``target`` is empty unless the flow
+    stays with one target.  ``nonce`` is unique within the home.
+    """
+
+    team: str
+    service: str
+    generation: int
+    home: str
+    home_incarnation: int
+    nonce: int
+    flow_id: bytes
+    target: str = ''
+    target_incarnation: int = 0
+    failure_domain: str = ''
+    issued_wall_ms: int = 0
+
+
+_INNER_TYPES = (str, str, int, str, int, int, bytes, str, int, str, int)
+
+
+@define
+class KeyRing:
+    """Keys by id; ``current`` seals new tokens, the others only open."""
+
+    keys: dict[int, bytes] = Factory(dict)
+    current: int | None = None
+
+
+def seal_token(ring: KeyRing, token: FlowToken) -> bytes:
+    """Return the bytes of a token under the current key.
+
+    Raises TokenError when the ring has no current key.
+    """
+    if ring.current is None:
+        raise TokenError(Reason.NO_KEY)
+    inner = cbor2.dumps(astuple(token, recurse=False))
+    mac = _mac(ring.keys[ring.current], inner)
+    return cbor2.dumps([ring.current, mac, inner])
+
+
+def open_token(ring: KeyRing, data: bytes) -> FlowToken:
+    """Return the content of a token whose MAC is right.
+
+    Raises TokenError on any other bytes.
+    """
+    try:
+        outer = cbor2.loads(data)
+    except Exception as error:
+        raise TokenError(Reason.TOKEN_FORGED) from error
+    if type(outer) is not list or len(outer) != _OUTER_FIELDS:
+        raise TokenError(Reason.TOKEN_FORGED)
+    key_id, mac, inner = outer
+    if type(key_id) is not int or type(mac) is not bytes:
+        raise TokenError(Reason.TOKEN_FORGED)
+    if type(inner) is not bytes:
+        raise TokenError(Reason.TOKEN_FORGED)
+    secret = ring.keys.get(key_id)
+    if secret is None:
+        raise TokenError(Reason.TOKEN_KEY_UNKNOWN)
+    if not compare_digest(_mac(secret, inner), mac):
+        raise TokenError(Reason.TOKEN_FORGED)
+    # Only key holders produce this, so later fields may safely be ignored.
+    return FlowToken(*cbor2.loads(inner)[: len(_INNER_TYPES)])
+
+
+def _mac(secret, inner):
+    return blake2s(inner, key=secret, digest_size=MAC_BYTES).digest()
--- /dev/null
+++ b/src/liftmount/_internal/kernel.py
@@ -0,0 +1,110 @@
+"""The micro-kernel: services that find each other by name.
+
+A service is one task that owns its sockets and its state.  It gets typed
+messages through its mailbox and knows others only by their names.  What
+changes slowly and interests many, such as the configuration in force, is
+a reactivex stream that the kernel holds by name.
+"""
+
+import asyncio
+from collections import deque
+import logging
+
+from attrs import define
+from attrs import Factory
+from reactivex.subject import ReplaySubject
+from reactivex.subject import Subject
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.exceptions import ServiceNotFoundError
+
+LOG = logging.getLogger('liftmount.kernel')
+MAX_MAILBOX = 100_000
+
+
+class Service:
+    """Base of a service; subclasses set ``name`` and handle messages."""
+
+    name = ''
+
+    def __init__(self, kernel):
+        self.kernel = kernel
+        self.clock: Clock = kernel.clock
+        self._mailbox = deque()
+        self._wake = asyncio.Event()
+        self.dropped = 0
+
+    def post(self, message) -> None:
+        """Put a message into the mailbox; drops it when that is full."""
+        if len(self._mailbox) >= MAX_MAILBOX:
+            self.dropped += 1
+            return
+        self._mailbox.append(message)
+        self._wake.set()
+
+    async def start(self) -> None:
+        """Open sockets; called once before ``run``, in given order."""
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._mailbox:
+                self.handle(self._mailbox.popleft())
+
+    def handle(self, message) -> None:
+        """Handle one message."""
+        raise TypeError(f'{self.name} got unknown message {message!r}')
+
+    async def stop(self) -> None:
+        """Close sockets; called once at the end."""
+
+
+@define
+class Kernel:
+    """Registry of services and of streams, and their life cycle."""
+
+    clock: Clock
+    services: dict[str, Service] = Factory(dict)
+    streams: dict[str, Subject] = Factory(dict)
+
+    def register(self, service: Service) -> None:
+        """Make a service known under its name."""
+        self.services[service.name] = service
+
+    def lookup(self, name: str) -> Service:
+        """Return the service of a name; raises ServiceNotFoundError."""
+        try:
+            return self.services[name]
+        except KeyError:
+            raise ServiceNotFoundError(name) from None
+
+    def post(self, name: str, message) -> None:
+        """Send a message to the service of a name."""
+        self.lookup(name).post(message)
+
+    def stream(self, name: str) -> Subject:
+        """Return the stream of a name; it repeats its last item."""
+        if name not in self.streams:
+            self.streams[name] = ReplaySubject(1)
+        return self.streams[name]
+
+    async def run(self) -> None:
+        """Start all services and run them until one fails or cancelled."""
+        try:
+            for service in self.services.values():
+                await service.start()
+            async with asyncio.TaskGroup() as group:
+                for service in self.services.values():
+                    group.create_task(service.run(), name=service.name)
+        finally:
+            for service in reversed(self.services.values()):
+                await service.stop()
+
+
+async def repeat(clock: Clock, interval_ms: int, call) -> None:
+    """Call ``call()`` at an interval until cancelled."""
+    while True:
+        call()
+        await asyncio.sleep(interval_ms / 1000)
--- /dev/null
+++ b/src/liftmount/_internal/models/addresses.py
@@ -0,0 +1,40 @@
+"""IP addresses with ports, as value types."""
+
+from functools import lru_cache
+from ipaddress import ip_address
+
+from attrs import frozen
+
+HIGHEST_PORT = 65_535
+
+
+@frozen
+class Endpoint:
+    """An IP number and a port; never a host name."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f'[{self.ip}]' if ':' in self.ip else self.ip
+        return f'{host}:{self.port}'
+
+    def socket_address(self):
+        """Return the pair that the socket module expects."""
+        return (self.ip, self.port)
+
+
+@lru_cache(maxsize=65_536)
+def parse_endpoint(text: str) -> Endpoint:
+    """Read ``IP:PORT`` or ``[IPV6]:PORT``.
+
+    Raises ValueError with a readable message on anything else.
+    """
+    host, separator, port_text = text.rpartition(':')
+    if not separator or not port_text.isdecimal():
+        raise ValueError(f'{text!r} is not IP:PORT')
+    port = int(port_text)
+    if port > HIGHEST_PORT:
+        raise ValueError(f'port {port} is above {HIGHEST_PORT}')
+    ip = ip_address(host.strip('[]'))
+    return Endpoint(str(ip), port)
--- /dev/null
+++ b/src/liftmount/_internal/models/members.py
@@ -0,0 +1,105 @@
+"""Members of the group of balancers, and their wire form."""
+
+from enum import IntEnum
+
+from attrs import evolve
+from attrs import frozen
+
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.addresses import parse_endpoint
+
+_RECORD_FIELDS = 9
+
+
+class MemberStatus(IntEnum):
+    """Status of a member; of two at one version the higher one holds."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@frozen
+class Member:
+    """A balancer as the others know it.
+
+    ``incarnation`` identifies the process, ``version`` counts what that
+    process said of itself.  ``has_platform`` tells whether it reaches the
+    platform, ``leaving`` whether a planned stop is under way.
+    """
+
+    name: str
+    failure_domain: str
+    peer: Endpoint
+    control: Endpoint
+    incarnation: int
+    version: int = 0
+    status: MemberStatus = MemberStatus.ALIVE
+    has_platform: bool = True
+    leaving: bool = False
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether it makes sense to send to the member."""
+        return self.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+
+    @property
+    def eligible(self) -> bool:
+        """Tell whether the member may own pools and take new flows."""
+        return self.reachable and not self.leaving
+
+    def newer_than(self, other) -> bool:
+        """Tell whether this record replaces ``other``."""
+        return self._order() > other._order()
+
+    def _order(self):
+        return (self.incarnation, self.version, self.status)
+
+    def with_status(self, status: MemberStatus):
+        """Return the same record with another status."""
+        return evolve(self, status=status)
+
+
+def member_record(member: Member) -> list:
+    """Return the wire form of a member."""
+    return [
+        member.name,
+        member.failure_domain,
+        str(member.peer),
+        str(member.control),
+        member.incarnation,
+        member.version,
+        int(member.status),
+        member.has_platform,
+        member.leaving,
+    ]
+
+
+def parse_member(record) -> Member:
+    """Read the wire form of a member; raises PacketError."""
+    if type(record) is not list or len(record) < _RECORD_FIELDS:
+        raise PacketError('member record is too short')
+    name, domain, peer, control, incarnation, version, *rest = record
+    status, has_platform, leaving = rest[:3]
+    for value in (incarnation, version):
+        if type(value) is not int:
+            raise PacketError('member record has a wrong type')
+    for value in (name, domain, peer, control):
+        if type(value) is not str:
+            raise PacketError('member record has a wrong type')
+    try:
+        return Member(
+            name=name,
+            failure_domain=domain,
+            peer=parse_endpoint(peer),
+            control=parse_endpoint(control),
+            incarnation=incarnation,
+            version=version,
+            status=MemberStatus(status),
+            has_platform=bool(has_platform),
+            leaving=bool(leaving),
+        )
+    except ValueError as error:
+        raise PacketError(str(error)) from error
--- /dev/null
+++ b/src/liftmount/_internal/models/messages.py
@@ -0,0 +1,107 @@
+"""Messages between the services of one daemon."""
+
+from attrs import Factory
+from attrs import frozen
+
+from liftmount._internal.decisions.rollout import ConfigurationView
+from liftmount._internal.models.envelopes import PeerEnvelope
+from liftmount._internal.models.members import Member
+from liftmount._internal.models.objects import StoredObject
+
+
+@frozen
+class PassPacket:
+    """Send a caller's packet to another balancer."""
+
+    peer: str
+    envelope: PeerEnvelope
+
+
+@frozen
+class PacketPassed:
+    """Another balancer passed a caller's packet on."""
+
+    envelope: PeerEnvelope
+
+
+@frozen
+class ObjectsArrived:
+    """Objects came from the platform or from a peer."""
+
+    objects: list[StoredObject]
+    source: str
+
+
+@frozen
+class ConfigurationChanged:
+    """Another configuration is in force on this balancer."""
+
+    view: ConfigurationView
+    revision: int
+    digest: bytes
+    changed: list[StoredObject] = Factory(list)
+
+
+@frozen
+class MembersChanged:
+    """The group of balancers has changed, as far as this one knows."""
+
+    own: Member
+    members: dict[str, Member]
+    changed: Member | None = None
+
+
+@frozen
+class PullFrom:
+    """Ask a peer for the objects that this balancer lacks."""
+
+    member: Member
+
+
+@frozen
+class PlatformReached:
+    """Whether the platform could be reached has changed."""
+
+    is_reached: bool
+
+
+@frozen
+class AppliedChanged:
+    """Which balancers of the failure domain hold which configuration."""
+
+    digests: dict[str, bytes]
+
+
+@frozen
+class TargetMet:
+    """A connection to a target is open and its identity was checked."""
+
+    target: str
+    incarnation: int
+
+
+@frozen
+class TargetDraining:
+    """A target says itself that it leaves, or that it stays after all."""
+
+    target: str
+    is_draining: bool
+
+
+@frozen
+class LeaveStarted:
+    """A planned stop of this balancer has begun."""
+
+
+@frozen
+class LeaveCancelled:
+    """The operator wants this balancer back."""
+
+
+@frozen
+class Inspect:
+    """The command-line tool asks what this balancer knows."""
+
+    subject: str
+    argument: str
+    answer: object
--- /dev/null
+++ b/src/liftmount/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Internal package; import from liftmount instead."""
--- /dev/null
+++ b/src/liftmount/_internal/services/peers.py
@@ -0,0 +1,177 @@
+"""Other balancers: membership, and packets passed between balancers."""
+
+import asyncio
+import logging
+
+from liftmount._internal.clock import seconds
+from liftmount._internal.decisions import membership
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.kernel import Service
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.envelopes import decode_peer
+from liftmount._internal.models.envelopes import encode_peer
+from liftmount._internal.models.envelopes import PeerEnvelope
+from liftmount._internal.models.events import Tick
+from liftmount._internal.models.members import Member
+from liftmount._internal.models.members import MemberStatus
+from liftmount._internal.models.messages import ConfigurationChanged
+from liftmount._internal.models.messages import LeaveCancelled
+from liftmount._internal.models.messages import LeaveStarted
+from liftmount._internal.models.messages import MembersChanged
+from liftmount._internal.models.messages import PacketPassed
+from liftmount._internal.models.messages import PassPacket
+from liftmount._internal.models.messages import PlatformReached
+from liftmount._internal.models.messages import PullFrom
+from liftmount._internal.models.reasons import Reason
+from liftmount._internal.network.udp import UdpSocket
+
+LOG = logging.getLogger('liftmount.peers')
+TICK_MS = 25
+PULL_EVERY_MS = 1_000
+FAREWELLS = 3
+
+
+class PeerService(Service):
+    """Owns the socket between balancers and the membership state."""
+
+    name = 'peers'
+
+    def __init__(self, kernel, settings, identity, counters):
+        super().__init__(kernel)
+        self.settings = settings
+        self.identity = identity
+        self.counters = counters
+        self.socket = None
+        self.state = None
+        self.stopping = False
+        self._next_pull_ms = 0
+
+    async def start(self):
+        """Bind the socket; the control service must be bound before."""
+        listen = self.settings.listen.peer
+        self.socket = await UdpSocket.bind(listen, self._on_datagram)
+        control = self.kernel.lookup('control').address
+        advertise = self.settings.advertise
+        own = Member(
+            name=self.identity.name,
+            failure_domain=self.identity.failure_domain,
+            peer=advertise.peer or self.socket.address,
+            control=advertise.control or control,
+            incarnation=self.identity.incarnation,
+        )
+        times = self.settings.membership
+        self.state = membership.make_membership(
+            own,
+            membership.MembershipTimes(
+                period_ms=times.period_ms,
+                probe_timeout_ms=times.probe_timeout_ms,
+                suspicion_ms=times.suspicion_ms,
+                bytes_per_second=self.settings.limits.control_bytes_per_second,
+            ),
+            [seed.peer for seed in self.settings.seeds],
+            self.clock.now_ms(),
+        )
+        self._publish(None)
+        self.kernel.stream('configuration').subscribe(self.post)
+
+    async def stop(self):
+        """Close the socket."""
+        if self.socket is not None:
+            self.socket.close()
+
+    async def run(self):
+        """Handle messages and let time pass."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run())
+            group.create_task(self._tick_forever())
+
+    async def _tick_forever(self):
+        while True:
+            self._execute(self._decide(Tick(self.clock.now_ms())))
+            await asyncio.sleep(seconds(TICK_MS))
+
+    def _decide(self, event):
+        return membership.decide(self.state, event)
+
+    def handle(self, message):
+        """Handle one message of another service."""
+        match message:
+            case PassPacket():
+                self._pass(message)
+            case ConfigurationChanged():
+                self.state.digest = message.digest
+            case PlatformReached():
+                self._announce(has_platform=message.is_reached)
+            case LeaveStarted():
+                self._announce(leaving=True)
+            case LeaveCancelled():
+                self._announce(leaving=False)
+            case _:
+                super().handle(message)
+
+    def _announce(self, **changes):
+        own = self.state.own
+        if all(getattr(own, key) == value for key, value in changes.items()):
+            return
+        membership.announce(self.state, **changes)
+        self._publish(None)
+
+    def say_farewell(self):
+        """Tell a few members at once that this one has left."""
+        self._announce(status=MemberStatus.LEFT)
+        for member in self.state.reachable()[:FAREWELLS]:
+            self._execute(membership.farewell(self.state, member))
+
+    def _publish(self, changed):
+        message = MembersChanged(
+            self.state.own, dict(self.state.members), changed
+        )
+        self.kernel.stream('members').on_next(message)
+
+    def _pass(self, message):
+        member = self.state.members.get(message.peer)
+        if member is None:
+            self.counters.refused(Reason.UNKNOWN_PEER)
+            return
+        data = encode_peer(message.envelope)
+        self.socket.send(data, member.peer.socket_address())
+
+    def _on_datagram(self, data, source):
+        try:
+            message = decode_peer(data)
+            if isinstance(message, PeerEnvelope):
+                self.kernel.post('data', PacketPassed(message))
+                return
+            event = membership.MessageArrived(
+                message, Endpoint(*source[:2]), self.clock.now_ms()
+            )
+            self._execute(self._decide(event))
+        except (PacketError, ValueError):
+            self.counters.refused(Reason.MALFORMED_PACKET)
+
+    def _execute(self, actions):
+        for action in actions:
+            match action:
+                case membership.SendDatagram():
+                    pair = action.destination.socket_address()
+                    self.counters.count('control_bytes', len(action.datagram))
+                    self.socket.send(action.datagram, pair)
+                case membership.MemberChanged():
+                    self._log_change(action.member)
+                    self._publish(action.member)
+                case membership.DigestDiffers():
+                    self._pull(action.member)
+                case membership.BudgetSpent():
+                    self.counters.refused(Reason.CONTROL_BUDGET_SPENT)
+
+    @staticmethod
+    def _log_change(member):
+        status = member.status.name.lower()
+        LOG.info('Member %s is %s.', member.name, status)
+
+    def _pull(self, member):
+        now_ms = self.clock.now_ms()
+        if now_ms < self._next_pull_ms:
+            return
+        self._next_pull_ms = now_ms + PULL_EVERY_MS
+        self.kernel.post('control', PullFrom(member))
--- /dev/null
+++ b/src/liftmount/_internal/services/platform.py
@@ -0,0 +1,504 @@
+"""The platform: lease, watch, status and the lease holder's duties.
+
+Only the root of a failure domain's relay tree calls the platform, so the
+number of calls grows with failure domains and not with balancers.
+"""
+
+import asyncio
+import logging
+import secrets
+
+from attrs import asdict
+
+from liftmount._internal.clock import seconds
+from liftmount._internal.decisions import claims as claim_decisions
+from liftmount._internal.decisions import keys as key_decisions
+from liftmount._internal.decisions import lease as lease_decisions
+from liftmount._internal.decisions.relay import relay_order
+from liftmount._internal.decisions.rollout import ConfigurationView
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.exceptions import ConflictError
+from liftmount._internal.exceptions import PlatformError
+from liftmount._internal.exceptions import PlatformUnavailableError
+from liftmount._internal.kernel import Service
+from liftmount._internal.models.events import Tick
+from liftmount._internal.models.messages import AppliedChanged
+from liftmount._internal.models.messages import ConfigurationChanged
+from liftmount._internal.models.messages import Inspect
+from liftmount._internal.models.messages import MembersChanged
+from liftmount._internal.models.messages import ObjectsArrived
+from liftmount._internal.models.messages import PlatformReached
+from liftmount._internal.models.objects import ClaimState
+from liftmount._internal.models.objects import DomainStatus
+from liftmount._internal.models.objects import FLOW_KEY_OBJECT
+from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.models.objects import SPREAD_KINDS
+from liftmount._internal.models.objects import StoredObject
+from liftmount._internal.models.reasons import Reason
+from liftmount._internal.platform.client import PlatformClient
+from liftmount._internal.platform.client import write_and_resolve
+from liftmount._internal.utils.documents import structure
+
+LOG = logging.getLogger('liftmount.platform')
+STEP_MS = 200
+RETRY_MS = 5_000
+WATCH_RETRY_MS = 300
+SECRET_BYTES = 32
+BALANCER_ROLE = 'balancer'
+LIVE = 'live'
+# Failed calls in a row before another member is to try.
+FAILURES_TO_YIELD = 2
+# Members that try again while no one reaches the platform.
+TRYING_MEMBERS = 2
+# With more new objects than this, all are read in one call.
+FETCH_ONE_BY_ONE = 16
+
+
+class PlatformService(Service):
+    """Owns the client of the object API and the lease state."""
+
+    name = 'platform'
+
+    def __init__(self, kernel, settings, identity, counters):
+        super().__init__(kernel)
+        self.settings = settings
+        self.identity = identity
+        self.counters = counters
+        self.client = PlatformClient(
+            settings.platform, identity.name, settings.listen.control.ip
+        )
+        self.lease = lease_decisions.LeaseState(
+            name=identity.name,
+            incarnation=identity.incarnation,
+            duration_ms=settings.lease.duration_ms,
+        )
+        self.view = ConfigurationView()
+        self._revision = 0
+        self._digest = b''
+        self._digests = {}
+        self._members = None
+        self._instances = []
+        self._is_reached = True
+        self._failures = 0
+        self._retry_at_ms = 0
+        self._listed_revision = -1
+        self._must_list = True
+        self._next_poll_ms = 0
+        self._status = None
+        self._status_version = None
+        self._statuses = []
+        self._has_candidacy = False
+
+    async def start(self):
+        """Follow members and configuration."""
+        self.kernel.stream('configuration').subscribe(self.post)
+        self.kernel.stream('members').subscribe(self.post)
+
+    async def stop(self):
+        """Close the client."""
+        await self.client.close()
+
+    async def run(self):
+        """Handle messages; as root of the domain, call the platform."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run())
+            group.create_task(self._step_forever())
+            group.create_task(self._watch_forever())
+
+    def handle(self, message):
+        """Handle one message of another service."""
+        match message:
+            case ConfigurationChanged():
+                self.view = message.view
+                self._revision = message.revision
+                self._digest = message.digest
+            case MembersChanged():
+                self._members = message
+            case AppliedChanged():
+                self._digests.update(message.digests)
+            case Inspect():
+                message.answer.set_result(self._inspect())
+            case _:
+                super().handle(message)
+
+    def _inspect(self):
+        return {
+            'calls': self.client.calls,
+            'is_reached': self._is_reached,
+            'is_root': self._is_root(),
+            'holds_lease': self.lease.is_held(self.clock.now_ms()),
+            'epoch': self.lease.epoch,
+        }
+
+    # Who calls the platform.
+
+    def _is_root(self):
+        if self._members is None:
+            return False
+        order = self._local_order()
+        return bool(order) and order[0] == self.identity.name
+
+    def _local_order(self):
+        known = [self._members.own, *self._members.members.values()]
+        domain = self.identity.failure_domain
+        return relay_order(
+            [one for one in known if one.failure_domain == domain]
+        )
+
+    def _may_call(self):
+        """Tell whether this member should call the platform now."""
+        if self._members is None:
+            return False
+        if self._is_root() and self._is_reached:
+            return True
+        if self._is_reached:
+            return False
+        if self.clock.now_ms() < self._retry_at_ms:
+            return False
+        return self.identity.name in self._local_order()[:TRYING_MEMBERS]
+
+    def _note_success(self):
+        self._failures = 0
+        if not self._is_reached:
+            LOG.info('The platform is in reach again.')
+            self._is_reached = True
+            self._must_list = True
+            self.kernel.post('peers', PlatformReached(True))
+
+    def _note_failure(self, error):
+        self.counters.refused(Reason.PLATFORM_UNAVAILABLE)
+        self._failures += 1
+        self._retry_at_ms = self.clock.now_ms() + self._retry_ms()
+        if self._is_reached and self._failures >= FAILURES_TO_YIELD:
+            LOG.warning('The platform is out of reach: %s.', error)
+            self._is_reached = False
+            self.kernel.post('peers', PlatformReached(False))
+
+    @staticmethod
+    def _retry_ms():
+        return RETRY_MS // 2 + secrets.randbelow(RETRY_MS // 2)
+
+    async def _step_forever(self):
+        while True:
+            if self._may_call():
+                try:
+                    await self._step()
+                    self._note_success()
+                except PlatformUnavailableError as error:
+                    self._note_failure(error)
+                except ConflictError as error:
+                    LOG.info('Another writer was first: %s.', error)
+                    self._must_list = True
+                except (PlatformError, ConfigurationError) as error:
+                    LOG.warning('The platform refused: %s.', error)
+            await asyncio.sleep(seconds(STEP_MS))
+
+    async def _step(self):
+        now_ms = self.clock.now_ms()
+        await self._keep_lease(now_ms)
+        if self._must_list:
+            await self._list()
+        if now_ms >= self._next_poll_ms:
+            self._next_poll_ms = now_ms + self.settings.platform.poll_ms
+            await self._read_instances()
+        if self.lease.is_held(self.clock.now_ms()):
+            await self._report()
+            await self._do_duties()
+
+    async def _watch_forever(self):
+        while True:
+            await asyncio.sleep(seconds(WATCH_RETRY_MS))
+            while self._is_root() and self._listed_revision >= 0:
+                if not self._is_reached:
+                    break
+                try:
+                    await self.client.watch(
+                        SPREAD_KINDS,
+                        self._listed_revision,
+                        self.settings.platform.watch_ms,
+                    )
+                except PlatformError:
+                    break
+                # A watch may skip changes, so it only says when to look.
+                try:
+                    await self._list()
+                except PlatformError as error:
+                    self._note_failure(error)
+                    break
+
+    # Reading.
+
+    async def _list(self):
+        """Fetch versions, then the objects that are new here."""
+        listing = await self.client.list(SPREAD_KINDS, with_values=False)
+        known = self.kernel.lookup('configuration').store.versions()
+        newer = [
+            item
+            for item in listing.objects
+            if item.version > known.get(item.key, 0)
+        ]
+        fetched = await self._fetch(newer)
+        self._listed_revision = listing.revision
+        self._must_list = False
+        if fetched:
+            arrived = ObjectsArrived(fetched, 'the platform')
+            self.kernel.post('configuration', arrived)
+
+    async def _fetch(self, newer):
+        if len(newer) > FETCH_ONE_BY_ONE:
+            listing = await self.client.list(SPREAD_KINDS)
+            wanted = {item.key for item in newer}
+            return [one for one in listing.objects if one.key in wanted]
+        fetched = []
+        for item in newer:
+            found = await self.client.get(item.key)
+            fetched.append(found if found is not None else item)
+        return fetched
+
+    async def _read_instances(self):
+        listing = await self.client.instances()
+        self._instances = listing.instances
+        known = self.kernel.lookup('configuration').store
+        current = {
+            f'{ObjectKind.INSTANCE.value}/{entry.name}': asdict(entry)
+            for entry in listing.instances
+        }
+        held = {
+            key: item.value
+            for key, item in known.objects.items()
+            if item.kind == ObjectKind.INSTANCE.value
+        }
+        changed = [
+            StoredObject(key, listing.revision, current.get(key))
+            for key in current.keys() | held.keys()
+            if current.get(key) != held.get(key)
+        ]
+        if changed:
+            arrived = ObjectsArrived(changed, 'the instance list')
+            self.kernel.post('configuration', arrived)
+
+    # The lease.
+
+    async def _keep_lease(self, now_ms):
+        tick = Tick(now_ms)
+        steps = lease_decisions.decide(self.lease, tick, self._is_root())
+        for step in steps:
+            await self._lease_step(step)
+
+    async def _lease_step(self, step):
+        asked_ms = self.clock.now_ms()
+        key = f'{ObjectKind.LEASE.value}/{self.identity.failure_domain}'
+        match step:
+            case lease_decisions.ReadLease():
+                found = await self.client.get(key)
+                event = self._lease_read(found, asked_ms)
+                further = lease_decisions.decide(
+                    self.lease, event, self._is_root()
+                )
+                for one in further:
+                    await self._lease_step(one)
+            case lease_decisions.WriteLease():
+                await self._write_lease(key, step, asked_ms)
+
+    @staticmethod
+    def _lease_read(found, now_ms):
+        value = None
+        version = 0
+        if found is not None:
+            version = found.version
+            if found.value is not None:
+                value = structure(
+                    found.value, lease_decisions.LeaseValue, found.key
+                )
+        return lease_decisions.LeaseRead(value, version, now_ms)
+
+    async def _write_lease(self, key, step, asked_ms):
+        was_held = self.lease.is_held(asked_ms)
+        try:
+            version = await write_and_resolve(
+                self.client, key, asdict(step.value), step.expected_version
+            )
+        except PlatformError:
+            failed = lease_decisions.LeaseWriteFailed()
+            lease_decisions.decide(self.lease, failed)
+            if was_held:
+                self.counters.refused(Reason.LEASE_LOST)
+            raise
+        written = lease_decisions.LeaseWritten(step.value, version, asked_ms)
+        lease_decisions.decide(self.lease, written)
+        if not was_held:
+            self._status_version = None
+            LOG.info('Took the lease, epoch %d.', step.value.epoch)
+
+    # Duties of the holder.
+
+    async def _report(self):
+        """Write the status of the domain when it has changed."""
+        status = self._make_status()
+        if status == self._status and self._status_version is not None:
+            return
+        key = f'{ObjectKind.STATUS.value}/{self.identity.failure_domain}'
+        if self._status_version is None:
+            found = await self.client.get(key)
+            self._status_version = found.version if found else 0
+            if found and found.value is not None:
+                self._check_epoch(found.value)
+        version = self._status_version
+        self._status_version = None
+        self._status_version = await write_and_resolve(
+            self.client, key, asdict(status), version
+        )
+        self._status = status
+
+    def _check_epoch(self, value):
+        """Stop acting when a later holder has reported already."""
+        if value.get('epoch', 0) > self.lease.epoch:
+            self.lease.held_until_ms = 0
+            self.counters.refused(Reason.LEASE_LOST)
+            raise ConflictError('status', None)
+
+    def _make_status(self):
+        expected = self._expected_balancers()
+        applied = {
+            name
+            for name, digest in self._digests.items()
+            if digest == self._digest
+        }
+        applied.add(self.identity.name)
+        problems = {
+            key: '; '.join(str(problem) for problem in found)
+            for key, found in self.view.problems.items()
+        }
+        problems.update(self._conflict_problems())
+        return DomainStatus(
+            failure_domain=self.identity.failure_domain,
+            holder=self.identity.name,
+            epoch=self.lease.epoch,
+            revision=self._revision,
+            applied=sorted(applied & expected),
+            missing=sorted(expected - applied),
+            problems=problems,
+            draining=sorted(self.view.drained),
+        )
+
+    def _expected_balancers(self):
+        """Return the balancers of the domain that must follow changes.
+
+        These are the live ones of the instance list, which lags, and the
+        live members.
+        """
+        domain = self.identity.failure_domain
+        names = {
+            entry.name
+            for entry in self._instances
+            if entry.role == BALANCER_ROLE
+            and entry.failure_domain == domain
+            and entry.state == LIVE
+        }
+        return names | set(self._local_order()) | {self.identity.name}
+
+    def _conflict_problems(self):
+        problems = {}
+        for address, services in self.view.wanted.items():
+            if len(services) > 1:
+                names = sorted(f'{s.team}/{s.name}' for s in services)
+                text = 'asked for by ' + ', '.join(names)
+                problems[f'claim/{address}'] = text
+        return problems
+
+    async def _do_duties(self):
+        if self.view.keys is None or self._key_is_due():
+            await self._rotate_key()
+        if self._claims_are_due():
+            await self._write_claims()
+
+    def _domains(self):
+        return {
+            entry.failure_domain
+            for entry in self._instances
+            if entry.role == BALANCER_ROLE and entry.state == LIVE
+        } | {self.identity.failure_domain}
+
+    async def _read_statuses(self):
+        listing = await self.client.list([ObjectKind.STATUS])
+        return [
+            structure(item.value, DomainStatus, item.key)
+            for item in listing.objects
+            if item.value is not None
+        ]
+
+    def _key_is_due(self):
+        keys = self.view.keys
+        newest = max(keys.keys, key=lambda one: one.id)
+        if newest.id != keys.current:
+            return True
+        age_ms = self.clock.wall_ms() - newest.created_wall_ms
+        return age_ms >= self.settings.lease.key_rotation_ms
+
+    async def _rotate_key(self):
+        found = self._store().objects.get(FLOW_KEY_OBJECT)
+        version = found.version if found else 0
+        statuses = await self._read_statuses() if found else []
+        times = key_decisions.RotationTimes(
+            self.settings.lease.key_rotation_ms,
+            self.settings.lease.key_overlap_ms,
+        )
+        changed = key_decisions.decide(
+            self.view.keys,
+            times,
+            claim_decisions.in_force(version, statuses, self._domains()),
+            secrets.token_hex(SECRET_BYTES),
+            self.clock.wall_ms(),
+        )
+        if changed is None:
+            return
+        value = asdict(changed)
+        await self._write_object(FLOW_KEY_OBJECT, value, version)
+
+    def _store(self):
+        return self.kernel.lookup('configuration').store
+
+    async def _write_object(self, key, value, version):
+        """Write an object of the system's own, and take it over."""
+        written = await write_and_resolve(self.client, key, value, version)
+        item = StoredObject(key, written, value)
+        arrived = ObjectsArrived([item], 'this balancer')
+        self.kernel.post('configuration', arrived)
+
+    def _claims_are_due(self):
+        claims = self._claims()
+        for address, services in self.view.wanted.items():
+            known = claims.get(str(address))
+            if known is None:
+                return True
+            claim = known[1]
+            if claim.state == ClaimState.RELEASING.value:
+                return True
+            holder = (claim.team, claim.service)
+            if holder not in {(one.team, one.name) for one in services}:
+                return True
+        return False
+
+    def _claims(self):
+        store = self._store()
+        prefix = ObjectKind.CLAIM.value + '/'
+        return {
+            key.removeprefix(prefix): (store.objects[key].version, claim)
+            for key, claim in store.valid.items()
+            if key.startswith(prefix)
+        }
+
+    async def _write_claims(self):
+        statuses = await self._read_statuses()
+        steps = claim_decisions.decide(
+            self.view, self._claims(), statuses, self._domains()
+        )
+        for step in steps:
+            if isinstance(step, claim_decisions.WriteClaim):
+                await self._write_claim(step)
+
+    async def _write_claim(self, step):
+        key = f'{ObjectKind.CLAIM.value}/{step.address}'
+        LOG.info('Claim of %s: %s.', step.address, step.claim)
+        value = asdict(step.claim)
+        await self._write_object(key, value, step.expected_version)
--- /dev/null
+++ b/src/liftmount/_internal/utils/documents.py
@@ -0,0 +1,132 @@
+"""Reads documents into attrs classes and reports every problem at once."""
+
+from pathlib import Path
+import tomllib
+
+import attrs
+from cattrs import Converter
+from cattrs import transform_error
+from cattrs.errors import ClassValidationError
+from cattrs.errors import IterableValidationError
+
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.problems import Problem
+
+_MISSING = object()
+_PATH_START = ' @ $.'
+
+
+def _structure_endpoint(value, _kind):
+    if not isinstance(value, str):
+        raise ValueError('expected "IP:PORT"')
+    return parse_endpoint(value)
+
+
+def _strict(kind):
+    """Return a hook that takes values of exactly this type."""
+
+    def structure(value, _kind):
+        if type(value) is not kind:
+            found = type(value).__name__
+            raise ValueError(f'expected {kind.__name__}, found {found}')
+        return value
+
+    return structure
+
+
+def make_converter() -> Converter:
+    """Return a converter that accepts no unknown keys and no coercion."""
+    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+    converter.register_structure_hook(Endpoint, _structure_endpoint)
+    converter.register_unstructure_hook(Endpoint, str)
+    for kind in (int, str, bool):
+        converter.register_structure_hook(kind, _strict(kind))
+    return converter
+
+
+CONVERTER = make_converter()
+
+
+def read_toml(path: Path) -> dict:
+    """Read a TOML file; raises ConfigurationError naming the file."""
+    try:
+        with path.open('rb') as stream:
+            return tomllib.load(stream)
+    except OSError as error:
+        problem = Problem(str(path), '(file)', '', error.strerror or '')
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        problem = Problem(str(path), '(file)', '', f'not TOML: {error}')
+    raise ConfigurationError([problem])
+
+
+def structure(document: dict, kind, source: str):
+    """Turn a plain document into an attrs class.
+
+    Raises ConfigurationError with one Problem for each wrong or unknown
+    key.
+    """
+    try:
+        return CONVERTER.structure(document, kind)
+    except (ClassValidationError, IterableValidationError) as error:
+        problems = _problems(error, document, source)
+    except Exception as error:
+        # cattrs lets errors of nested hooks through as they are.
+        problems = [Problem(source, '(document)', '', str(error))]
+    raise ConfigurationError(problems)
+
+
+def _problems(error, document, source):
+    problems = []
+    for line in transform_error(error, path='$'):
+        message, _separator, path = line.partition(' @ $')
+        key = path.lstrip('.') or '(document)'
+        value = _lookup(document, key)
+        shown = '' if value is _MISSING else repr(value)
+        text = _innermost(error, message)
+        problems.append(Problem(source, key, shown, text))
+    return problems
+
+
+def _innermost(_error, message):
+    prefix = 'invalid value for type, expected '
+    if message.startswith(prefix):
+        return 'expected ' + message[len(prefix) :]
+    return message
+
+
+def _lookup(document, key):
+    value = document
+    for part in key.replace(']', '').replace('[', '.').split('.'):
+        try:
+            value = value[int(part)] if part.isdecimal() else value[part]
+        except (KeyError, IndexError, TypeError):
+            return _MISSING
+    return value
+
+
+def check_fields(instance, source: str, prefix: str = '') -> list[Problem]:
+    """Run the ``check`` of each field and of nested classes."""
+    problems = []
+    for item in attrs.fields(type(instance)):
+        value = getattr(instance, item.name)
+        key = f'{prefix}{item.name}'
+        check = item.metadata.get('check')
+        message = check(value) if check else None
+        if message:
+            problems.append(Problem(source, key, repr(value), message))
+        if attrs.has(type(value)) and not isinstance(value, Endpoint):
+            problems += check_fields(value, source, f'{key}.')
+    return problems
+
+
+def checked(check, default=attrs.NOTHING, help_text=''):
+    """Declare a field whose value ``check`` judges.
+
+    ``check(value)`` returns None when the value is good, else a message.
+    """
+    return attrs.field(
+        default=default,
+        metadata={'check': check, 'help': help_text},
+    )
--- /dev/null
+++ b/stand_ins/fabric.py
@@ -0,0 +1,150 @@
+"""Stand-in for the fabric: hands any datagram to any balancer.
+
+Binds a UDP socket for each service address, puts each caller's datagram
+into an envelope and sends it to a balancer at random; and the other way
+round.  ``POST /set`` on its control address changes balancers, addresses
+and faults (loss, duplication, delay, reordering).
+"""
+
+import argparse
+import asyncio
+import json
+import random
+
+from aiohttp import web
+from attrs import define
+
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.envelopes import decode_fabric
+from liftmount._internal.models.envelopes import encode_fabric
+from liftmount._internal.models.envelopes import FabricEnvelope
+from liftmount._internal.network.udp import UdpSocket
+
+
+@define
+class Faults:
+    """Shares of datagrams that suffer, and how long they are held."""
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    reordering: float = 0.0
+    delay_ms: int = 0
+    held_ms: int = 50
+
+
+class Fabric:
+    """Sockets of all service addresses, and the way back."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.faults = Faults()
+        self.balancers = []
+        self.addresses = {}
+        self.way_back = None
+        self.passed = 0
+
+    async def bind_address(self, text):
+        """Bind one service address."""
+        if text in self.addresses:
+            return
+        address = parse_endpoint(text)
+
+        def on_datagram(data, source):
+            self._inward(address, data, source)
+
+        self.addresses[text] = await UdpSocket.bind(address, on_datagram)
+
+    def _inward(self, address, data, source):
+        if not self.balancers:
+            return
+        envelope = FabricEnvelope(
+            source[0], source[1], address.ip, address.port, data
+        )
+        encoded = encode_fabric(envelope)
+        for delay_ms in self._copies():
+            balancer = self.random.choice(self.balancers)
+            self._send_later(delay_ms, self.way_back, encoded, balancer)
+
+    def outward(self, data, _source):
+        """Hand a balancer's datagram to its caller."""
+        try:
+            envelope = decode_fabric(data)
+        except PacketError:
+            return
+        address = Endpoint(envelope.address_ip, envelope.address_port)
+        socket = self.addresses.get(str(address))
+        if socket is None:
+            return
+        caller = (envelope.caller_ip, envelope.caller_port)
+        for delay_ms in self._copies():
+            self._send_later(delay_ms, socket, envelope.datagram, caller)
+
+    def _copies(self):
+        """Return the delay of each copy of a datagram; none when lost."""
+        faults = self.faults
+        draw = self.random.random
+        if draw() < faults.loss:
+            return []
+        delays = [faults.delay_ms]
+        if draw() < faults.duplication:
+            held_ms = self.random.randint(0, faults.held_ms)
+            delays.append(faults.delay_ms + held_ms)
+        if draw() < faults.reordering:
+            delays[0] += self.random.randint(1, faults.held_ms)
+        return delays
+
+    def _send_later(self, delay_ms, socket, data, destination):
+        self.passed += 1
+        if delay_ms <= 0:
+            socket.send(data, destination)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_ms / 1000, socket.send, data, destination)
+
+    async def set(self, request):
+        """Change what the request names."""
+        document = await request.json()
+        if 'balancers' in document:
+            self.balancers = [
+                parse_endpoint(one).socket_address()
+                for one in document['balancers']
+            ]
+        for text in document.get('addresses', ()):
+            await self.bind_address(text)
+        for key, value in document.get('faults', {}).items():
+            setattr(self.faults, key, value)
+        return web.json_response({'passed': self.passed})
+
+
+async def serve(options):
+    """Serve until cancelled."""
+    fabric = Fabric(options.seed)
+    fabric.way_back = await UdpSocket.bind(
+        parse_endpoint(options.way_back), fabric.outward
+    )
+    app = web.Application()
+    app.add_routes([web.post('/set', fabric.set)])
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    control = parse_endpoint(options.control)
+    await web.TCPSite(runner, control.ip, control.port).start()
+    print(json.dumps({'ready': 'fabric'}), flush=True)
+    await asyncio.Event().wait()
+
+
+def main():
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--control', required=True, metavar='IP:PORT')
+    parser.add_argument('--way-back', required=True, metavar='IP:PORT')
+    parser.add_argument('--seed', type=int, default=1)
+    try:
+        asyncio.run(serve(parser.parse_args()))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/stand_ins/plans.py
@@ -0,0 +1,110 @@
+"""The deployments of the users, at their sizes of today."""
+
+from attrs import Factory
+from attrs import frozen
+
+FAST = 4.0
+SLOW = 1.0
+
+
+@frozen
+class PoolPlan:
+    """Targets of one pool: a speed for each."""
+
+    name: str
+    speeds: tuple
+    slots: int
+
+
+@frozen
+class ServicePlan:
+    """A service of the template, and its load on each team.
+
+    ``load`` is the share of the pool's true capacity for requests, or the
+    number of streams for streams.
+    """
+
+    name: str
+    mode: str
+    pool: str
+    priority: str
+    repeatable: bool = False
+    deadline_ms: int = 5_000
+    streams: int = 0
+    interval_ms: int = 2_000
+    load: float = 0.0
+    work_ms: float = 0.0
+    spread: float = 0.5
+    answer_bytes: int = 200
+
+
+@frozen
+class DeploymentPlan:
+    """One deployment: domains with their balancers, teams, services."""
+
+    name: str
+    domains: dict
+    template: str
+    teams: tuple
+    pools: tuple
+    services: tuple = Factory(tuple)
+
+
+def montevideo(streams: int = 2_000) -> DeploymentPlan:
+    """Return the van routing platform: three rival firms."""
+    return DeploymentPlan(
+        name='montevideo',
+        domains={'centro': 3, 'cordon': 3, 'pocitos': 2},
+        template='delivery-firm',
+        teams=('firm-a', 'firm-b', 'firm-c'),
+        pools=(
+            PoolPlan('guidance', (FAST, SLOW, SLOW, FAST, SLOW, SLOW, FAST), 3),
+            PoolPlan('tiles', (FAST, SLOW, SLOW), 3),
+        ),
+        services=(
+            ServicePlan(
+                'guidance', 'stream', 'guidance', 'urgent',
+                streams=streams // 3,
+            ),
+            ServicePlan(
+                'confirmations', 'request', 'guidance', 'urgent',
+                deadline_ms=6_000, load=0.7, work_ms=600.0,
+            ),
+            ServicePlan(
+                'tiles', 'request', 'tiles', 'may-wait', repeatable=True,
+                deadline_ms=20_000, load=0.6, work_ms=900.0,
+                answer_bytes=20_000,
+            ),
+        ),
+    )  # fmt: skip
+
+
+def kathmandu(streams: int = 2_000) -> DeploymentPlan:
+    """Return the materials index: one team, four domains."""
+    return DeploymentPlan(
+        name='kathmandu',
+        domains={'asan': 2, 'boudha': 2, 'kirtipur': 2, 'patan': 2},
+        template='materials',
+        teams=('index',),
+        pools=(
+            PoolPlan('index', (FAST, SLOW, SLOW, FAST, SLOW, SLOW, FAST), 2),
+            PoolPlan('spectra', (FAST, SLOW, SLOW, SLOW), 2),
+        ),
+        services=(
+            ServicePlan(
+                'alloy-watch', 'stream', 'index', 'urgent', streams=streams
+            ),
+            ServicePlan(
+                'lookups', 'request', 'index', 'normal',
+                deadline_ms=6_000, load=0.75, work_ms=400.0,
+            ),
+            ServicePlan(
+                'spectra', 'request', 'spectra', 'may-wait', repeatable=True,
+                deadline_ms=30_000, load=0.7, work_ms=900.0,
+                answer_bytes=60_000,
+            ),
+        ),
+    )  # fmt: skip
+
+
+DEPLOYMENTS = {'montevideo': montevideo, 'kathmandu': kathmandu}
