Test the decisions, and let a restarted member join

Cause: a restarted balancer that a seed happened to probe first never learnt the other members: the seed had met its new incarnation in an answer, and so no longer took it for a newcomer. Found by the scenario 'A restarted member replaces its former self', which failed before.

Change: a member that knows nobody says so in its probe.

--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -41,6 +41,8 @@
 DEAD_KEPT_MS = 600_000
 DATAGRAM_OVERHEAD_BYTES = 28
 MAX_RELAYED = 64
+# What a probe says whose sender knows nobody yet.
+JOIN = 'join'
 
 
 @frozen
@@ -233,7 +235,10 @@
         return []
     state.sequence += 1
     destination = lost[_random(state, len(lost))]
-    return _send(state, PING, state.sequence, destination, own_first=True)
+    extra = JOIN if not state.reachable() else ''
+    return _send(
+        state, PING, state.sequence, destination, extra, own_first=True
+    )
 
 
 def _next_target(state):
@@ -310,6 +315,8 @@
     now_ms = event.now_ms
     before = state.members.get(sender)
     newcomer = before is None or before.incarnation != incarnation
+    # A restarted member may have been met before it asks for the others.
+    newcomer = newcomer or extra == JOIN
     actions = []
     # An answer from a member that is thought dead must not be taken for
     # life by itself: the member refutes what it is told of itself.
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,21 @@
+"""Sets up and clears away what scenarios use."""
+
+from pathlib import Path
+import shutil
+import tempfile
+
+
+def before_scenario(context, _scenario):
+    """Give each scenario its own directory."""
+    context.directory = Path(tempfile.mkdtemp(prefix='liftmount-test-'))
+    context.deployment = None
+
+
+def after_scenario(context, scenario):
+    """End the processes of the scenario; keep logs of a failed one."""
+    if context.deployment is not None:
+        context.deployment.stop()
+    if scenario.status == 'failed' and context.deployment is not None:
+        print(f'Logs are in {context.directory}.')
+        return
+    shutil.rmtree(context.directory, ignore_errors=True)
