--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -522,6 +522,24 @@
         for _name, process in running:
             process.wait(limit_s)
 
+    def answered(self) -> int:
+        """Return how many requests have their final answer by now."""
+        count = 0
+        for name in self.callers:
+            path = self.directory / f'{name}.jsonl'
+            if path.exists():
+                count += path.read_text().count('"event": "request"')
+        return count
+
+    def wait_answers(self, more: int, limit_s: float = 60):
+        """Wait until callers got so many answers more than now."""
+        goal = self.answered() + more
+        wait_for(
+            lambda: self.answered() >= goal,
+            f'{more} more answers',
+            limit_s,
+        )
+
     def records(self):
         """Return the records of callers, and those of targets."""
         caller_records = []
--- a/stand_ins/plans.py
+++ b/stand_ins/plans.py
@@ -108,4 +108,31 @@
     )  # fmt: skip
 
 
+def small(streams: int = 24) -> DeploymentPlan:
+    """Return two rival firms before few targets, for tests of faults."""
+    return DeploymentPlan(
+        name='small',
+        domains={'a': 2, 'b': 2, 'c': 2},
+        template='firm',
+        teams=('firm-a', 'firm-b'),
+        pools=(PoolPlan('guidance', (FAST, SLOW, FAST, SLOW), 3),),
+        services=(
+            ServicePlan(
+                'guidance', 'stream', 'guidance', 'urgent',
+                streams=streams, interval_ms=300,
+            ),
+            ServicePlan(
+                'confirmations', 'request', 'guidance', 'urgent',
+                deadline_ms=5_000, load=0.25, work_ms=300.0,
+            ),
+            ServicePlan(
+                'tiles', 'request', 'guidance', 'may-wait', repeatable=True,
+                deadline_ms=8_000, load=0.15, work_ms=300.0,
+                answer_bytes=12_000,
+            ),
+        ),
+    )  # fmt: skip
+
+
 DEPLOYMENTS = {'montevideo': montevideo, 'kathmandu': kathmandu}
+ALL_PLANS = {**DEPLOYMENTS, 'small': small}
--- /dev/null
+++ b/tests/features/steps/deployment_steps.py
@@ -0,0 +1,347 @@
+"""Steps that start real processes and bring faults about."""
+
+from pathlib import Path
+import signal
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from stand_ins.deployment import call
+from stand_ins.deployment import Deployment
+from stand_ins.deployment import wait_for
+from stand_ins.plans import ALL_PLANS
+
+TEAM = 'firm-a'
+# Longer than suspicion and lease together.
+FREEZE_ANSWERS = 120
+SHORT_LEASE = {'duration_ms': 1_500}
+
+
+def start(context, plan, linked, settings=None):
+    """Start a deployment for the scenario."""
+    directory = Path(context.directory)
+    deployment = Deployment(
+        ALL_PLANS[plan](), directory, seed=7, linked=linked
+    )
+    deployment.settings = {'lease': dict(SHORT_LEASE)} | (settings or {})
+    context.deployment = deployment
+    deployment.start()
+
+
+@given('a linked "{plan}" deployment')
+def linked_deployment(context, plan):
+    start(context, plan, True)
+
+
+@given('a "{plan}" deployment')
+def plain_deployment(context, plan):
+    start(context, plan, False)
+
+
+@given('a linked "{plan}" deployment whose keys rotate every {age:d} ms')
+def rotating_deployment(context, plan, age):
+    lease = SHORT_LEASE | {'key_rotation_ms': age, 'key_overlap_ms': 60_000}
+    start(context, plan, True, {'lease': lease})
+
+
+@given('callers of every team')
+def callers(context):
+    for team in context.deployment.plan.teams:
+        context.deployment.start_callers(team)
+
+
+@when('the callers got {count:d} answers')
+def got_answers(context, count):
+    context.deployment.wait_answers(count)
+
+
+@then('every promise holds')
+def promises_hold(context):
+    deployment = context.deployment
+    deployment.stop_callers()
+    report = deployment.check()
+    assert report.requests > 0
+    assert report.streams == expected_streams(deployment), report
+    assert report.faults() == 0, report.document()
+    context.report = report
+
+
+def expected_streams(deployment):
+    each = sum(one.streams for one in deployment.plan.services)
+    return each * len(deployment.plan.teams)
+
+
+def home_of(deployment, team=TEAM, service='confirmations'):
+    """Return the balancer that owns the pool of a service."""
+    address = deployment.service_address(team, service)
+    running = deployment.running_balancers()
+    return deployment.explain(running[0], address)['owner']
+
+
+def lose(deployment, *names):
+    """Kill balancers; the fabric notices later."""
+    for name in names:
+        deployment.kill(name)
+    deployment.wait_answers(30)
+    deployment.publish_balancers()
+
+
+@when('the home of firm-a is killed')
+def home_killed(context):
+    lose(context.deployment, home_of(context.deployment))
+
+
+@when('two balancers are killed at once')
+def two_killed(context):
+    deployment = context.deployment
+    home = home_of(deployment)
+    other = home_of(deployment, 'firm-b')
+    names = {home, other}
+    if len(names) == 1:
+        names.add(next(n for n in deployment.balancers if n != home))
+    lose(deployment, *names)
+
+
+def freeze(deployment, name, answers=FREEZE_ANSWERS):
+    """Freeze a process until so many answers came, then let it go on."""
+    deployment.signal(name, signal.SIGSTOP)
+    deployment.wait_answers(answers)
+    deployment.signal(name, signal.SIGCONT)
+
+
+@when('the home of firm-a is frozen and goes on')
+def home_frozen(context):
+    freeze(context.deployment, home_of(context.deployment))
+
+
+@when('the lease holder of domain a is frozen and goes on')
+def holder_frozen(context):
+    deployment = context.deployment
+    before = lease_of(deployment, 'a')
+    holder = before['holder']
+    deployment.signal(holder, signal.SIGSTOP)
+    wait_for(
+        lambda: lease_of(deployment, 'a')['epoch'] > before['epoch'],
+        'another lease holder',
+    )
+    deployment.signal(holder, signal.SIGCONT)
+    deployment.wait_answers(60)
+
+
+def lease_of(deployment, domain):
+    return call(deployment.platform, f'/objects/lease/{domain}')['value']
+
+
+@when('a balancer joins while the platform is down')
+def joins_without_platform(context):
+    deployment = context.deployment
+    name = list(deployment.balancers)[-1]
+    deployment.kill(name)
+    deployment.publish_balancers()
+    deployment.platform_faults(down=True)
+    deployment.start_balancer(name)
+    running = deployment.running_balancers()
+    wait_for(
+        lambda: held_alike(deployment, running), 'configuration from peers'
+    )
+    deployment.publish_balancers()
+    deployment.wait_answers(60)
+    deployment.platform_faults(down=False)
+
+
+def held_alike(deployment, names):
+    """Tell whether balancers hold the same configuration."""
+    digests = {
+        deployment.inspect(name)['configuration']['digest'] for name in names
+    }
+    return len(digests) == 1
+
+
+@when('every balancer is stopped as planned in turn')
+def all_stopped(context):
+    deployment = context.deployment
+    for name in list(deployment.balancers):
+        others = [n for n in deployment.running_balancers() if n != name]
+        assert deployment.stop_planned(name) == 0, name
+        deployment.publish_balancers(others)
+        deployment.start_balancer(name)
+        wait_for(
+            lambda: held_alike(deployment, deployment.balancers),
+            'configuration of the new balancer',
+        )
+        deployment.publish_balancers()
+
+
+@when('a balancer is stopped as planned while a target drains')
+def stop_while_draining(context):
+    deployment = context.deployment
+    deployment.set_target('guidance-1', TEAM, drain=1)
+    home = home_of(deployment)
+    assert deployment.stop_planned(home) == 0
+    deployment.publish_balancers()
+
+
+@when('a target is killed and comes back')
+def target_killed(context):
+    deployment = context.deployment
+    deployment.kill('guidance-1')
+    deployment.wait_answers(60)
+    deployment.start_target('guidance-1')
+
+
+@when('a target is frozen and goes on')
+def target_frozen(context):
+    freeze(context.deployment, 'guidance-1')
+
+
+@when('a target drains by its own word and returns')
+def target_drains(context):
+    deployment = context.deployment
+    deployment.set_target('guidance-1', TEAM, drain=1)
+    deployment.wait_answers(150)
+    deployment.set_target('guidance-1', TEAM, drain=0)
+
+
+@when('an operator drains a target and restores it')
+def operator_drains(context):
+    deployment = context.deployment
+    target = f'{TEAM}/guidance-1'
+    deployment.drain_target(target)
+    deployment.wait_answers(150)
+    deployment.drains[-1][2] = time.time_ns() // 1_000_000
+    deployment.tool('target', 'restore', target)
+
+
+@when("callers' packets are lost, doubled and reordered")
+def packets_suffer(context):
+    context.deployment.fabric_faults(
+        loss=0.05, duplication=0.1, reordering=0.2, held_ms=300
+    )
+
+
+@when('packets between balancers are lost and doubled')
+def peer_packets_suffer(context):
+    faults = {'loss': 0.05, 'duplication': 0.1, 'held_ms': 50}
+    call(context.deployment.links_control, '/set', {'faults': faults})
+
+
+@when('packets are delayed for seconds')
+def packets_delayed(context):
+    context.deployment.fabric_faults(
+        duplication=0.1, reordering=0.05, held_ms=3_000
+    )
+
+
+def set_cuts(deployment, cuts, blocked):
+    deployment.cut(*cuts)
+    deployment.platform_faults(
+        blocked=[
+            ip for domain, ip in deployment.balancers.values()
+            if domain in blocked
+        ]
+    )  # fmt: skip
+
+
+CUTS = {
+    'domain b': ([('a', 'b')], ()),
+    'the platform': ([], ('a',)),
+    'everything': ([('a', 'b'), ('a', 'c')], ('a',)),
+}
+
+
+@when('domain a is cut off from {what} and healed')
+def domain_cut(context, what):
+    deployment = context.deployment
+    cuts, blocked = CUTS[what]
+    set_cuts(deployment, cuts, blocked)
+    deployment.wait_answers(FREEZE_ANSWERS)
+    set_cuts(deployment, [], ())
+
+
+@when('the platform is down for a while')
+def platform_down(context):
+    deployment = context.deployment
+    deployment.platform_faults(down=True)
+    deployment.wait_answers(FREEZE_ANSWERS)
+    deployment.platform_faults(down=False)
+
+
+@when('the platform is slow')
+def platform_slow(context):
+    context.deployment.platform_faults(delay_ms=700)
+    change_deadline(context.deployment, 4_000)
+
+
+@when('the platform loses answers to writes')
+def platform_forgets(context):
+    context.deployment.platform_faults(lose_answers=3)
+    change_deadline(context.deployment, 4_000)
+
+
+def change_deadline(deployment, deadline_ms, team=TEAM):
+    """Change the configuration of a team, and wait until in force."""
+    document = deployment.team_document(team)
+    document['services'] = {'confirmations': {'deadline_ms': deadline_ms}}
+    return deployment.apply('team', document, '--wait-ms', '30000')
+
+
+@when('flow keys are rotated')
+def keys_rotated(context):
+    deployment = context.deployment
+    found = call(deployment.platform, '/objects/flow-key/current')
+    value = found['value']
+    newest = value['keys'][-1]
+    added = {**newest, 'id': newest['id'] + 1, 'secret_hex': 'ab' * 32}
+    value['keys'].append(added)
+    put(deployment, 'flow-key/current', value, found['version'])
+    wait_for(
+        lambda: call(deployment.platform, '/objects/flow-key/current')[
+            'value'
+        ]['current'] == added['id'],
+        'use of the new key',
+    )  # fmt: skip
+
+
+def put(deployment, key, value, version):
+    """Write an object past the tool."""
+    from urllib.request import Request
+
+    from stand_ins import deployment as harness
+
+    request = Request(
+        f'http://{deployment.platform}/objects/{key}',
+        data=harness.json.dumps({'value': value}).encode(),
+        method='PUT',
+        headers={
+            'If-Match': f'"{version}"',
+            'Content-Type': 'application/json',
+        },
+    )
+    with harness._OPENER.open(request, timeout=10) as response:
+        return harness.json.loads(response.read())['version']
+
+
+@when('the home of firm-a is killed while the platform is down')
+def killed_without_platform(context):
+    deployment = context.deployment
+    deployment.platform_faults(down=True)
+    # The tool cannot reach the platform either, but asks no object of it.
+    lose(deployment, home_of(deployment))
+    deployment.wait_answers(60)
+    deployment.platform_faults(down=False)
+
+
+@when('a target is frozen while packets are lost and doubled')
+def frozen_with_loss(context):
+    peer_packets_suffer(context)
+    packets_suffer(context)
+    target_frozen(context)
+
+
+@when('the home of firm-a is killed while packets are lost')
+def killed_with_loss(context):
+    packets_suffer(context)
+    peer_packets_suffer(context)
+    home_killed(context)
