Send a request under one token, whatever else is granted

Cause: a frozen home that goes on answers old copies of an open; the caller took the second token and sent a request in flight again under it, with the same number but another window, so it ran twice. Ruled out: the target's shed and cancel paths, and colliding test addresses.

Change: a grant carries a number; the caller keeps its first grant for requests, and closes any other. A scenario brings it about.

--- a/src/liftmount/_internal/models/packets.py
+++ b/src/liftmount/_internal/models/packets.py
@@ -65,11 +65,16 @@
 
 @frozen
 class Opened:
-    """The flow is open; every later packet carries ``token``."""
+    """The flow is open; every later packet carries ``token``.
+
+    ``grant`` tells one grant from another: a flow that was asked for
+    twice may have been opened twice, and the caller keeps only one.
+    """
 
     KIND = Kind.OPENED
     flow_id: bytes = wire(2, bytes, limit=MAX_FLOW_ID_BYTES)
     token: bytes = wire(3, bytes, limit=MAX_TOKEN_BYTES)
+    grant: int = wire(13, int, 0)
 
 
 @frozen
--- a/src/liftmount/_internal/network/client.py
+++ b/src/liftmount/_internal/network/client.py
@@ -86,7 +86,9 @@
     address: Endpoint
     flow_id: bytes
     inbox: asyncio.Queue = Factory(asyncio.Queue)
+    is_stream: bool = False
     token: bytes = b''
+    grant: int = 0
     next_number: int = 1
     waiting: dict = Factory(dict)
     refusals: dict = Factory(dict)
@@ -201,7 +203,7 @@
     ):
         """Open a flow; return it, or an Outcome that nothing was run."""
         flow_id = secrets.token_bytes(FLOW_ID_BYTES)
-        flow = _Flow(address, flow_id)
+        flow = _Flow(address, flow_id, is_stream=bool(name))
         self._flows[flow_id] = flow
         packet = Open(flow_id, token, name, sequence)
         wait_ms = RESEND_FIRST_MS
@@ -332,9 +334,7 @@
             return
         match packet:
             case Opened():
-                flow.token = packet.token
-                flow.heard_ms = self._clock.now_ms()
-                flow.opened.set()
+                self._on_opened(flow, packet)
             case Answer():
                 flow.heard_ms = self._clock.now_ms()
                 self._on_answer(flow, packet)
@@ -349,6 +349,25 @@
                 flow.heard_ms = self._clock.now_ms()
                 flow.inbox.put_nowait(packet)
 
+    def _on_opened(self, flow, packet):
+        """Keep one grant; close any other that the flow was given.
+
+        Requests stay under their token, whatever else is granted.  A
+        stream follows the balancer that took it over.
+        """
+        if flow.token and packet.grant != flow.grant:
+            unwanted = packet.token
+            if flow.is_stream:
+                unwanted = flow.token
+                flow.token = packet.token
+                flow.grant = packet.grant
+            self._send(flow, Close(unwanted, flow.flow_id))
+        elif flow.is_stream or not flow.token:
+            flow.token = packet.token
+            flow.grant = packet.grant
+        flow.heard_ms = self._clock.now_ms()
+        flow.opened.set()
+
     def _on_answer(self, flow, packet):
         waiting = flow.waiting.get(packet.number)
         if waiting is None or waiting.done():
--- a/src/liftmount/_internal/services/data.py
+++ b/src/liftmount/_internal/services/data.py
@@ -54,7 +54,8 @@
 
 LOG = logging.getLogger('liftmount.data')
 TICK_MS = 20
-NONCE_BITS = 62
+# A nonce fits the integers of packets.
+NONCE_BITS = 53
 MOVES_PER_TICK = 200
 MOVES_EVERY_MS = 1_000
 QUIET_MS = 1_500
@@ -380,7 +381,7 @@
             self.counters.refused(error.reason)
             self.home.flows.remove(action.nonce)
             return
-        opened = Opened(action.flow_id, sealed)
+        opened = Opened(action.flow_id, sealed, action.nonce)
         self._to_caller(action.caller, service.address, opened)
 
     def _reply(self, action):
--- /dev/null
+++ b/tests/features/steps/caller_steps.py
@@ -0,0 +1,135 @@
+"""Steps on the caller library, against a socket of the test."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.packets import Answer
+from liftmount._internal.models.packets import Close
+from liftmount._internal.models.packets import decode_packet
+from liftmount._internal.models.packets import encode_packet
+from liftmount._internal.models.packets import Keepalive
+from liftmount._internal.models.packets import Open
+from liftmount._internal.models.packets import Opened
+from liftmount._internal.models.packets import Refused
+from liftmount._internal.models.packets import Request
+from liftmount._internal.network.udp import UdpSocket
+from liftmount.client import Client
+
+GRANTS = {'first': 1, 'second': 2}
+COPIES = 3
+
+
+class Script:
+    """Plays the balancers, as the scenario has laid down."""
+
+    def __init__(self):
+        self.grants = ()
+        self.regrant = None
+        self.gone = 0
+        self.seen = []
+        self.socket = None
+        self.outcome = None
+
+    async def run(self, deadline_ms):
+        local = Endpoint('127.0.0.1', 0)
+        self.socket = await UdpSocket.bind(local, self.on_datagram)
+        async with Client(local) as client:
+            self.outcome = await client.request(
+                self.socket.address, b'body', deadline_ms
+            )
+        # The caller's last packets are on their way still.
+        await asyncio.sleep(0)
+        while self.regrant and not self.of(Close):
+            await asyncio.sleep(0.01)
+        self.socket.close()
+
+    def on_datagram(self, data, source):
+        packet = decode_packet(data)
+        self.seen.append(packet)
+        match packet:
+            case Open() | Keepalive():
+                for name in self.grants:
+                    self.grant(packet.flow_id, name, source)
+            case Request():
+                self.on_request(packet, source)
+
+    def grant(self, flow_id, name, source):
+        opened = Opened(flow_id, name.encode(), GRANTS[name])
+        self.socket.send(encode_packet(opened), source)
+
+    def on_request(self, packet, source):
+        if self.regrant:
+            self.grant(packet.flow_id, self.regrant, source)
+        for _ in range(self.gone):
+            refused = Refused(packet.flow_id, packet.number, 'home_gone')
+            self.socket.send(encode_packet(refused), source)
+        if not self.gone and len(self.of(Request)) >= COPIES:
+            answer = Answer(packet.flow_id, packet.number, body=b'done')
+            self.socket.send(encode_packet(answer), source)
+
+    def of(self, kind):
+        return [one for one in self.seen if isinstance(one, kind)]
+
+
+@given('a caller that opens a flow')
+def caller_opens(context):
+    context.script = Script()
+
+
+@when('the flow is granted as "first"')
+def granted_once(context):
+    context.script.grants = ('first',)
+
+
+@when('the flow is granted as "first" and later as "second" too')
+def granted_twice(context):
+    context.script.grants = ('first', 'second')
+
+
+@when('the caller sends a request that may not be repeated')
+def sends_request(context):
+    context.deadline_ms = 20_000
+
+
+@when('"second" is granted again before the answer')
+def granted_again(context):
+    context.script.regrant = 'second'
+    asyncio.run(context.script.run(context.deadline_ms))
+
+
+@when('{count:d} balancers say that the home is gone')
+def home_gone(context, count):
+    context.script.gone = count
+    asyncio.run(context.script.run(context.deadline_ms))
+
+
+@when('nobody answers until the deadline')
+def nobody_answers(context):
+    asyncio.run(context.script.run(300))
+
+
+@then('every copy of the request carries the token "{token}"')
+def one_token(context, token):
+    copies = context.script.of(Request)
+    assert len(copies) >= COPIES
+    assert {one.token for one in copies} == {token.encode()}, copies
+
+
+@then('the token "{token}" is closed')
+def token_closed(context, token):
+    closed = {one.token for one in context.script.of(Close)}
+    assert token.encode() in closed, closed
+
+
+@then('the outcome is "{verdict}"')
+def outcome_is(context, verdict):
+    assert context.script.outcome.verdict.value == verdict
+
+
+@then('no copy is sent under another token')
+def no_other_token(context):
+    assert {one.token for one in context.script.of(Request)} == {b'first'}
