Prove configuration, isolation and planned stops

Change: 18 scenarios: a slow, forgetful and unreachable platform, watches that skip, racing operators, invalid objects, an address that changes hands (and must not while a domain is cut off), an address reused by another team's target, strangers, 100,000 bad packets, planned stops and the three ways a target leaves.

--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -28,14 +28,14 @@
 _OPENER = build_opener(ProxyHandler({}))
 
 
-def call(address: str, path: str, document=None, method=None):
+def call(address: str, path: str, document=None, method=None, headers=()):
     """Call a stand-in over HTTP and return its answer."""
     data = None if document is None else json.dumps(document).encode()
     request = Request(
         f'http://{address}{path}',
         data=data,
         method=method,
-        headers={'Content-Type': 'application/json'},
+        headers={'Content-Type': 'application/json', **dict(headers)},
     )
     with _OPENER.open(request, timeout=10) as response:
         body = response.read().decode()
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -306,21 +306,9 @@
 
 def put(deployment, key, value, version):
     """Write an object past the tool."""
-    from urllib.request import Request
-
-    from stand_ins import deployment as harness
-
-    request = Request(
-        f'http://{deployment.platform}/objects/{key}',
-        data=harness.json.dumps({'value': value}).encode(),
-        method='PUT',
-        headers={
-            'If-Match': f'"{version}"',
-            'Content-Type': 'application/json',
-        },
-    )
-    with harness._OPENER.open(request, timeout=10) as response:
-        return harness.json.loads(response.read())['version']
+    headers = {'If-Match': f'"{version}"'}
+    path = f'/objects/{key}'
+    call(deployment.platform, path, {'value': value}, 'PUT', headers)
 
 
 @when('the home of firm-a is killed while the platform is down')
--- /dev/null
+++ b/tests/features/steps/promise_steps.py
@@ -0,0 +1,402 @@
+"""Steps on configuration, isolation and planned stops."""
+
+import asyncio
+import json
+import random
+import time
+
+from behave import then
+from behave import when
+import cbor2
+from deployment_steps import held_alike
+from deployment_steps import home_of
+from deployment_steps import put
+from deployment_steps import set_cuts
+from deployment_steps import TEAM
+
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.envelopes import encode_fabric
+from liftmount._internal.models.envelopes import FabricEnvelope
+from liftmount._internal.models.packets import encode_packet
+from liftmount._internal.models.packets import Open
+from liftmount._internal.models.packets import Request
+from liftmount._internal.network.udp import UdpSocket
+from liftmount.client import Client
+from stand_ins import workload
+from stand_ins.deployment import call
+from stand_ins.deployment import wait_for
+from stand_ins.workload import Work
+
+STATUS_CONFLICT = 3
+STATUS_NOT_IN_FORCE = 5
+EVERYTHING = [('a', 'b'), ('a', 'c')]
+BATCH = 500
+
+
+@when('{fault} begins')
+def fault_begins(context, fault):
+    deployment = context.deployment
+    match fault:
+        case 'the platform answers late':
+            deployment.platform_faults(delay_ms=700)
+        case 'the platform loses two answers':
+            deployment.platform_faults(lose_answers=2)
+        case 'watches skip changes':
+            deployment.platform_faults(skip_watch=True)
+        case 'domain a cannot reach the platform':
+            set_cuts(deployment, [], ('a',))
+        case 'a balancer starts anew':
+            deployment.kill('lm-2')
+            deployment.start_balancer('lm-2')
+        case _:
+            raise AssertionError(fault)
+
+
+@when('firm-a changes the deadline of its confirmations to {value:d} ms')
+def change(context, value):
+    deployment = context.deployment
+    document = deployment.team_document(TEAM)
+    document['services'] = {'confirmations': {'deadline_ms': value}}
+    # The tool waits as little as it can; later steps wait for the end.
+    context.applied = deployment.apply(
+        'team', document, '--wait-ms', '1', check=False
+    )
+
+
+def sample_versions(context):
+    """Note each balancer's versions; none may go back."""
+    deployment = context.deployment
+    seen = context.__dict__.setdefault('seen_versions', {})
+    found = {}
+    for name in deployment.running_balancers():
+        versions = deployment.inspect(name)['configuration']['versions']
+        found[name] = versions
+        for key, version in versions.items():
+            before = seen.get((name, key), 0)
+            assert version >= before, (name, key, before, version)
+            seen[name, key] = version
+    return found
+
+
+@then('every balancer holds what the store holds')
+def all_hold(context):
+    deployment = context.deployment
+    key = f'team/{TEAM}'
+    stored = call(deployment.platform, f'/objects/{key}')['version']
+    names = deployment.running_balancers()
+
+    def holds():
+        found = sample_versions(context)
+        newest = all(found[name].get(key) == stored for name in names)
+        return newest and held_alike(deployment, names)
+
+    wait_for(holds, f'version {stored} on all balancers', 60)
+
+
+@then('no balancer ever held an older version after a newer one')
+def never_reverts(context):
+    for _round in range(3):
+        sample_versions(context)
+
+
+@when('domain a is cut off from everything')
+def cut_off(context):
+    set_cuts(context.deployment, EVERYTHING, ('a',))
+
+
+@when('domain a is healed')
+def healed(context):
+    set_cuts(context.deployment, [], ())
+
+
+@then('the change is not in force, and the tool names domain "{domain}"')
+def not_in_force(context, domain):
+    assert context.applied.returncode == STATUS_NOT_IN_FORCE, context.applied
+    assert f'domain {domain}' in context.applied.stderr, context.applied
+    deployment = context.deployment
+
+    def is_behind():
+        done = deployment.tool('--output', 'json', 'status', check=False)
+        rows = json.loads(done.stdout)
+        states = {row['failure_domain']: row['state'] for row in rows}
+        others = [states[one] for one in states if one != domain]
+        return states[domain] == 'behind' and set(others) == {'in force'}
+
+    wait_for(is_behind, 'a status that shows the cut')
+
+
+@when('two operators change firm-a from the same version')
+def two_operators(context):
+    deployment = context.deployment
+    base = call(deployment.platform, f'/objects/team/{TEAM}')['version']
+    context.results = []
+    for deadline_ms in (1_111, 2_222):
+        document = deployment.team_document(TEAM)
+        document['base_version'] = base
+        document['services'] = {'confirmations': {'deadline_ms': deadline_ms}}
+        done = deployment.apply('team', document, check=False)
+        context.results.append(done)
+
+
+@then('one change is stored and the other operator sees the difference')
+def one_stored(context):
+    first, second = context.results
+    assert first.returncode == 0, first
+    assert second.returncode == STATUS_CONFLICT, second
+    assert '-deadline_ms = 1111' in second.stdout, second.stdout
+    assert '+deadline_ms = 2222' in second.stdout, second.stdout
+    shown = context.deployment.tool('team', 'get', TEAM).stdout
+    assert 'deadline_ms = 1111' in shown, shown
+
+
+@when('something invalid is written over firm-a past the tool')
+def write_invalid(context):
+    deployment = context.deployment
+    found = call(deployment.platform, f'/objects/team/{TEAM}')
+    value = found['value']
+    value['document']['targets'] = 'none'
+    put(deployment, f'team/{TEAM}', value, found['version'])
+
+
+@then('the status tells what is wrong with "{key}"')
+def status_tells(context, key):
+    def tells():
+        done = context.deployment.tool('status', check=False)
+        return f'{key}: {key}: targets' in done.stdout
+
+    wait_for(tells, f'a problem of {key} in the status')
+
+
+@when('an operator drains the home of firm-a')
+def drain_home(context):
+    context.drained = home_of(context.deployment)
+    context.deployment.tool('instance', 'drain', context.drained)
+
+
+@then('the drained instance holds no flows')
+def no_flows(context):
+    def is_empty():
+        found = context.deployment.inspect(context.drained)['data']
+        return found['leaving'] and found['flows'] == 0
+
+    wait_for(is_empty, 'the drained instance to be empty')
+
+
+def move_address(deployment):
+    """Give firm-a's tiles address to firm-b, by the tool."""
+    address = deployment.service_address(TEAM, 'tiles')
+    gives = deployment.team_document(TEAM)
+    del gives['addresses']['tiles']
+    deployment.apply('team', gives)
+    takes = deployment.team_document('firm-b')
+    takes['addresses']['tiles'] = address
+    deployment.apply('team', takes)
+    return address
+
+
+def claim_of(deployment, address):
+    return call(deployment.platform, f'/objects/claim/{address}')['value']
+
+
+@when("the address of firm-a's tiles moves to firm-b")
+def address_moves(context):
+    address = move_address(context.deployment)
+    wait_for(
+        lambda: claim_of(context.deployment, address)['team'] == 'firm-b',
+        'the grant to firm-b',
+    )
+
+
+@when('firm-a gives up its tiles address and firm-b asks for it')
+def gives_up(context):
+    context.address = move_address(context.deployment)
+
+
+@then('the address stays with nobody as long as domain a is cut off')
+def stays_with_nobody(context):
+    deployment = context.deployment
+
+    def released_elsewhere():
+        found = claim_of(deployment, context.address)
+        return found['state'] == 'releasing' and all(
+            row['state'] == 'in force'
+            for row in json.loads(
+                deployment.tool(
+                    '--output', 'json', 'status', check=False
+                ).stdout
+            )
+            if row['failure_domain'] != 'a'
+        )
+
+    wait_for(released_elsewhere, 'the release outside of domain a')
+    version = call(deployment.platform, f'/objects/claim/{context.address}')
+    # Several more rounds of the lease holders leave it as it is.
+    calls = sum(call(deployment.platform, '/calls').values())
+    wait_for(
+        lambda: sum(call(deployment.platform, '/calls').values()) > calls + 40,
+        'more rounds of the lease holders',
+    )
+    later = call(deployment.platform, f'/objects/claim/{context.address}')
+    assert later == version, (version, later)
+
+
+@then('the address is granted to firm-b')
+def granted(context):
+    def is_granted():
+        found = claim_of(context.deployment, context.address)
+        return (found['team'], found['state']) == ('firm-b', 'held')
+
+    wait_for(is_granted, 'the grant to firm-b', 60)
+
+
+@then('no target ran work of another team')
+def no_foreign_work(context):
+    deployment = context.deployment
+    deployment.stop_callers()
+    report = deployment.check()
+    assert report.wrong_service == 0, report.examples
+    assert report.requests_doubled == 0, report.examples
+    assert report.not_run_but_ran == 0, report.examples
+    assert report.answers_incomplete == 0, report.examples
+
+
+@when("another team's target takes the address of firm-a/guidance-1")
+def address_reused(context):
+    deployment = context.deployment
+    deployment.kill('guidance-1')
+    for plan in deployment.target_plans:
+        if plan['process'] == 'guidance-1' and plan['team'] == TEAM:
+            plan['team'] = 'firm-z'
+    # The records of the new process are those of another target.
+    deployment.start_target('guidance-1')
+    for plan in deployment.target_plans:
+        if plan['team'] == 'firm-z':
+            plan['team'] = TEAM
+
+
+@then('some balancer refused "{reason}"')
+def some_refused(context, reason):
+    deployment = context.deployment
+    names = deployment.running_balancers()
+    total = sum(
+        deployment.inspect(name)['data']['counters'].get(
+            f'refused.{reason}', 0
+        )
+        for name in names
+    )
+    assert total > 0, reason
+
+
+@when("a caller of firm-b asks firm-a's confirmations")
+def stranger_asks(context):
+    deployment = context.deployment
+    address = deployment.service_address(TEAM, 'confirmations')
+    work = Work('stranger', TEAM, 'confirmations', 1.0, 10)
+
+    async def ask():
+        local = Endpoint(deployment.caller_ip('firm-b'), 0)
+        async with Client(local) as client:
+            body = workload.encode_work(work)
+            return await client.request(address, body, 1_500)
+
+    context.stranger = asyncio.run(ask())
+
+
+@then('the outcome of the stranger is "{verdict}"')
+def stranger_outcome(context, verdict):
+    assert context.stranger.verdict.value == verdict, context.stranger
+
+
+@then('no target ran anything')
+def nothing_ran(context):
+    _callers, targets = context.deployment.records()
+    assert not [one for one in targets if one['event'] == 'run'], targets
+
+
+def bad_datagrams(address, count):
+    """Yield datagrams as a broken or hostile sender would send them."""
+    draw = random.Random(5)
+    good = encode_packet(Request(number=1, token=b'x' * 60, body=b'y' * 50))
+    opening = encode_packet(Open(b'12345678'))
+
+    def wrap(inner):
+        envelope = FabricEnvelope(
+            '127.0.0.1', 9, address.ip, address.port, inner
+        )
+        return encode_fabric(envelope)
+
+    makers = (
+        lambda: draw.randbytes(draw.randint(0, 200)),
+        lambda: wrap(draw.randbytes(draw.randint(0, 200))),
+        lambda: wrap(good[: draw.randint(0, len(good))]),
+        lambda: wrap(good),
+        lambda: wrap(cbor2.dumps({0: 1, 1: 3, 3: 'text', 5: -1})),
+        lambda: wrap(cbor2.dumps([[[[]]]] * 20)),
+        lambda: cbor2.dumps([1, 2, 3, 4, 5]),
+        lambda: cbor2.dumps(['not an ip', 1, 'nor this', 2, opening]),
+        lambda: b'\x9b' + b'\xff' * 8,
+        lambda: wrap(b'\x00' * 60_000),
+    )
+    for number in range(count):
+        # Large ones are few, or they would only fill the socket.
+        index = number % (len(makers) - 1)
+        yield makers[-1]() if number % 1_000 == 0 else makers[index]()
+
+
+@when('{count:d} bad packets of every sort are sent to a balancer')
+def send_bad(context, count):
+    deployment = context.deployment
+    ip = deployment.balancers['lm-1'][1]
+    destination = (ip, deployment._port(1))
+    address = parse_endpoint(deployment.service_address(TEAM, 'confirmations'))
+
+    async def send():
+        socket = await UdpSocket.bind(Endpoint(ip, 0), lambda *_: None)
+        for number, data in enumerate(bad_datagrams(address, count)):
+            socket.send(data, destination)
+            if number % BATCH == 0:
+                # Let the balancer keep up, or the kernel drops them.
+                await asyncio.sleep(0.02)
+        socket.close()
+
+    asyncio.run(send())
+
+
+@when('the home of firm-a is stopped as planned')
+def home_stopped(context):
+    deployment = context.deployment
+    assert deployment.stop_planned(home_of(deployment)) == 0
+    deployment.publish_balancers()
+
+
+@then('no request is in doubt')
+def no_doubt(context):
+    doubts = context.report.verdicts.get('may_have_run', 0)
+    assert doubts == 0, context.report.document()
+
+
+@when('target "{name}" of firm-a leaves by {word}')
+def target_leaves(context, name, word):
+    deployment = context.deployment
+    context.leaving = f'{TEAM}/{name}'
+    now_ms = time.time_ns() // 1_000_000
+    match word:
+        case 'its own word':
+            deployment.set_target(name, TEAM, drain=1)
+        case "the operator's word":
+            deployment.drain_target(context.leaving)
+        case 'the instance list':
+            entry = {
+                'failure_domain': 'a',
+                'role': 'target',
+                'state': 'leaving',
+            }
+            path = f'/instances/{context.leaving}'
+            call(deployment.platform, path, entry, 'PUT')
+            deployment.drains.append([context.leaving, now_ms, None])
+
+
+@then('its streams have moved')
+def streams_moved(context):
+    assert context.report.stream_rebinds > 0, context.report.document()
