Measure policy against baselines

Cause: nothing told whether placement keeps the promise on imbalance.

Change: './dev measure policy' drives the real decisions, and three baselines, against fake targets on a clock moved by events.

--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of liftmount; run them by ``./dev measure``."""
--- /dev/null
+++ b/benches/__main__.py
@@ -0,0 +1,21 @@
+"""Entry of the measurements: ``decisions``, ``policy``, ``path``, ..."""
+
+from importlib import import_module
+import sys
+
+BENCHES = ('decisions', 'policy', 'path', 'capacity')
+
+
+def main() -> int:
+    """Run the bench that is named first."""
+    arguments = sys.argv[1:]
+    if not arguments or arguments[0] not in BENCHES:
+        names = '|'.join(BENCHES)
+        print(f'usage: ./dev measure {names} [options]', file=sys.stderr)
+        return 2
+    module = import_module(f'benches.{arguments[0]}')
+    return module.main(arguments[1:])
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/benches/fakes.py
@@ -0,0 +1,90 @@
+"""Fake targets on a clock moved by events, for benches of policy."""
+
+from collections import deque
+import heapq
+
+from attrs import define
+from attrs import Factory
+
+
+@define
+class Timeline:
+    """Calls in order of their time, in milliseconds."""
+
+    now_ms: float = 0.0
+    _heap: list = Factory(list)
+    _count: int = 0
+
+    def at(self, time_ms: float, call) -> None:
+        """Call ``call()`` at a time."""
+        self._count += 1
+        heapq.heappush(self._heap, (time_ms, self._count, call))
+
+    def run(self, until_ms: float) -> None:
+        """Carry out everything up to a time."""
+        while self._heap and self._heap[0][0] <= until_ms:
+            self.now_ms, _count, call = heapq.heappop(self._heap)
+            call()
+        self.now_ms = until_ms
+
+
+@define
+class FakeTarget:
+    """A target with slots, a speed and a short queue; then it sheds.
+
+    ``speed`` may be changed at any time and holds for work started later.
+    ``down`` refuses connections; ``shed_share`` of requests are shed for
+    no reason that shows.
+    """
+
+    name: str
+    domain: str
+    slots: int
+    speed: float
+    timeline: Timeline
+    queue_limit: int = 2
+    down: bool = False
+    leaving: bool = False
+    shed_share: float = 0.0
+    draw: object = None
+    running: int = 0
+    queue: deque = Factory(deque)
+    work_done_ms: float = 0.0
+
+    @property
+    def load(self) -> int:
+        """Return how many requests are here."""
+        return self.running + len(self.queue)
+
+    def submit(self, work_ms, deadline_at_ms, on_answer, on_refusal):
+        """Take a request; one of the callbacks is called later."""
+        sheds = self.shed_share and self.draw() < self.shed_share
+        full = self.load >= self.slots + self.queue_limit
+        if self.down or sheds or full:
+            self._soon(on_refusal)
+            return
+        item = (work_ms, deadline_at_ms, on_answer, on_refusal)
+        if self.running < self.slots:
+            self._start(item)
+        else:
+            self.queue.append(item)
+
+    def _soon(self, call):
+        self.timeline.at(self.timeline.now_ms + 1.0, call)
+
+    def _start(self, item):
+        work_ms, deadline_at_ms, on_answer, on_refusal = item
+        if self.timeline.now_ms >= deadline_at_ms:
+            self._soon(on_refusal)
+            return
+        self.running += 1
+        self.work_done_ms += work_ms
+        end_ms = self.timeline.now_ms + work_ms / self.speed
+
+        def finish():
+            self.running -= 1
+            while self.queue and self.running < self.slots:
+                self._start(self.queue.popleft())
+            on_answer()
+
+        self.timeline.at(end_ms, finish)
--- /dev/null
+++ b/benches/policies.py
@@ -0,0 +1,275 @@
+"""The policy of liftmount, and baselines, behind one interface.
+
+Each is asked for one request at a time and reports its end by
+``done(request, verdict, reason)``.
+"""
+
+from ipaddress import ip_network
+
+from attrs import define
+from attrs import Factory
+
+from liftmount._internal.decisions import requests as request_decisions
+from liftmount._internal.decisions.home import make_home_state
+from liftmount._internal.decisions.ownership import rank
+from liftmount._internal.decisions.pool import TargetInfo
+from liftmount._internal.models import actions as act
+from liftmount._internal.models import events
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.configuration import Service
+from liftmount._internal.models.settings import LimitSettings
+
+CALLER = Endpoint('10.0.0.1', 1)
+ATTEMPTS = 3
+TICK_MS = 20
+BALANCERS = 8
+
+
+@define(eq=False)
+class Request:
+    """One request of a bench."""
+
+    number: int
+    priority: str
+    work_ms: float
+    arrived_ms: float
+    deadline_ms: float
+    verdict: str = ''
+    reason: str = ''
+    ended_ms: float = 0.0
+    sends: int = 0
+    tried: set = Factory(set)
+
+
+class OwnerPolicy:
+    """Liftmount: the owner of the pool decides, with all that is real."""
+
+    name = 'liftmount'
+
+    def __init__(self, timeline, targets, counters, done):
+        self.timeline = timeline
+        self.targets = {one.name: one for one in targets}
+        self.counters = counters
+        self.done = done
+        limits = LimitSettings()
+        self.home = make_home_state(limits, targets[0].domain)
+        self.services = {}
+        self.requests = {}
+        self.numbers = 0
+        self.pool = self.home.pool_state('team/pool').pool
+        self.update_targets()
+        self._tick()
+
+    def update_targets(self):
+        """Take over which targets there are, and which leave."""
+        infos = [
+            TargetInfo(one.name, one.domain, leaving=one.leaving)
+            for one in self.targets.values()
+        ]
+        self.pool.update(infos, int(self.timeline.now_ms))
+
+    def _tick(self):
+        self._feed(events.Tick(int(self.timeline.now_ms)))
+        self.timeline.at(self.timeline.now_ms + TICK_MS, self._tick)
+
+    def _nonce(self, priority, deadline_ms):
+        if priority not in self.services:
+            nonce = len(self.services) + 1
+            service = Service(
+                team='team',
+                name=priority,
+                mode='request',
+                pool='pool',
+                address=Endpoint('10.1.0.1', nonce),
+                priority=priority,
+                repeatable=False,
+                deadline_ms=int(deadline_ms),
+                max_queue=256,
+                networks=(ip_network('10.0.0.0/8'),),
+            )
+            self.services[priority] = nonce
+            asked = events.FlowAsked(
+                service=service,
+                caller=CALLER,
+                flow_id=str(nonce).encode(),
+                name=b'',
+                sequence=0,
+                target='',
+                target_incarnation=0,
+                nonce=nonce,
+                now_ms=int(self.timeline.now_ms),
+            )
+            self._feed(asked)
+        return self.services[priority]
+
+    def submit(self, request):
+        """Take one request."""
+        nonce = self._nonce(request.priority, request.deadline_ms)
+        self.numbers += 1
+        self.requests[nonce, self.numbers] = request
+        arrived = events.RequestArrived(
+            nonce=nonce,
+            caller=CALLER,
+            number=self.numbers,
+            deadline_ms=int(request.deadline_ms),
+            body=b'',
+            now_ms=int(self.timeline.now_ms),
+        )
+        self._feed(arrived)
+
+    def _feed(self, event):
+        for action in request_decisions.decide(self.home, event):
+            match action:
+                case act.SendRequest():
+                    self._send(action)
+                case act.Reply():
+                    self._reply(action)
+                case act.CountRetry():
+                    self.counters['retries'] += 1
+
+    def _send(self, action):
+        pending = self.home.pending[action.request_id]
+        request = self.requests[pending.nonce, pending.number]
+        target = self.targets[action.target]
+        request.sends += 1
+        self.counters['sends'] += 1
+        note_past_slots(self.counters, target, self.targets.values())
+
+        def on_answer():
+            now_ms = int(self.timeline.now_ms)
+            event = events.TargetAnswered(action.request_id, b'', now_ms)
+            self._feed(event)
+
+        def on_refusal():
+            now_ms = int(self.timeline.now_ms)
+            if target.down:
+                event = events.RequestLost(action.request_id, False, now_ms)
+            else:
+                event = events.TargetRefused(
+                    action.request_id, 100, False, now_ms
+                )
+            self._feed(event)
+
+        deadline_at_ms = self.timeline.now_ms + action.deadline_ms
+        target.submit(request.work_ms, deadline_at_ms, on_answer, on_refusal)
+
+    def _reply(self, action):
+        nonce = self.services[self._priority_of(action)]
+        request = self.requests.pop((nonce, action.number), None)
+        if request is not None:
+            reason = action.outcome.reason
+            text = reason.value if reason else ''
+            self.done(request, action.outcome.verdict.value, text)
+
+    def _priority_of(self, action):
+        port = action.address.port
+        return next(k for k, nonce in self.services.items() if nonce == port)
+
+
+def note_past_slots(counters, target, targets):
+    """Count a send to a full target while another had a free slot."""
+    if target.load < target.slots:
+        return
+    free = any(
+        one.load < one.slots and not one.down and not one.leaving
+        for one in targets
+    )
+    if free:
+        counters['past_slots'] += 1
+
+
+class Baseline:
+    """Eight balancers that each see their own share of the load only."""
+
+    name = ''
+
+    def __init__(self, timeline, targets, counters, done):
+        self.timeline = timeline
+        self.targets = targets
+        self.counters = counters
+        self.done = done
+        self.states = [self.make_state() for _ in range(BALANCERS)]
+
+    def make_state(self):
+        """Return what one balancer remembers."""
+        return {}
+
+    def update_targets(self):
+        """A baseline sees at once which targets leave."""
+
+    def choose(self, state, request, allowed):
+        """Return one of the targets that are allowed."""
+        raise NotImplementedError
+
+    def submit(self, request):
+        """Take one request at one of the balancers."""
+        state = self.states[request.number % BALANCERS]
+        self._try(state, request)
+
+    def _try(self, state, request):
+        allowed = [
+            one
+            for one in self.targets
+            if not one.leaving and one.name not in request.tried
+        ]
+        if not allowed or request.sends >= ATTEMPTS:
+            self.done(request, 'not_run', 'target_shed')
+            return
+        target = self.choose(state, request, allowed)
+        request.sends += 1
+        self.counters['sends'] += 1
+        if request.sends > 1:
+            self.counters['retries'] += 1
+        note_past_slots(self.counters, target, self.targets)
+        state[target.name] = state.get(target.name, 0) + 1
+
+        def on_answer():
+            state[target.name] -= 1
+            self.done(request, 'ran', '')
+
+        def on_refusal():
+            state[target.name] -= 1
+            request.tried.add(target.name)
+            self._try(state, request)
+
+        deadline_at_ms = request.arrived_ms + request.deadline_ms
+        target.submit(request.work_ms, deadline_at_ms, on_answer, on_refusal)
+
+
+class RoundRobin(Baseline):
+    """Each balancer takes the targets in turn."""
+
+    name = 'round robin'
+
+    def choose(self, state, request, allowed):
+        """Return the next in turn."""
+        turn = state['turn'] = state.get('turn', -1) + 1
+        return allowed[turn % len(allowed)]
+
+
+class Rendezvous(Baseline):
+    """Plain rendezvous hashing of the request."""
+
+    name = 'rendezvous'
+
+    def choose(self, state, request, allowed):
+        """Return the highest score."""
+        names = [one.name for one in allowed]
+        best = rank(str(request.number), names)[0]
+        return next(one for one in allowed if one.name == best)
+
+
+class LeastConnections(Baseline):
+    """Least requests in progress, as far as the balancer sees."""
+
+    name = 'least connections'
+
+    def choose(self, state, request, allowed):
+        """Return the target with the least seen here."""
+        turn = state['turn'] = state.get('turn', -1) + 1
+        rotated = allowed[turn % len(allowed) :]
+        rotated += allowed[: turn % len(allowed)]
+        return min(rotated, key=lambda one: state.get(one.name, 0))
+
+
+POLICIES = (OwnerPolicy, RoundRobin, Rendezvous, LeastConnections)
