Prove a target's slots by overtaking, and share the proof in a pool

Cause: levels of concurrency were judged by mean latency; queues of two behind three slots were taken for slots, and at low load nothing was learnt. Ruled out: the choice by least busy share, which was even once the slots were right.

Change: a request that ends before all that were sent earlier proves how many ran side by side. What the upper quarter of a pool's targets has proven holds for the others until disproved. The busy share fades over 12 s instead of 4. Sheds lower a limit only where they are the rule.

Judging by latency was dropped but for targets that share one processor, which overtaking cannot tell.

--- a/benches/fakes.py
+++ b/benches/fakes.py
@@ -50,6 +50,7 @@
     running: int = 0
     queue: deque = Factory(deque)
     work_done_ms: float = 0.0
+    starts: list = Factory(list)
 
     @property
     def load(self) -> int:
@@ -79,6 +80,7 @@
             return
         self.running += 1
         self.work_done_ms += work_ms
+        self.starts.append((self.timeline.now_ms, work_ms))
         end_ms = self.timeline.now_ms + work_ms / self.speed
 
         def finish():
--- a/benches/policy.py
+++ b/benches/policy.py
@@ -37,12 +37,13 @@
 class Scenario:
     """One scenario.
 
-    ``load`` is a share of the true capacity; ``events`` are (time in ms,
-    kind, argument) and change targets or the load.
+    ``slots`` is one number, or one for each target.  ``load`` is a share
+    of the true capacity; ``events`` are (time in ms, kind, argument) and
+    change targets or the load.
     """
 
     name: str
-    slots: int = 3
+    slots: int | tuple = 3
     speeds: tuple = SPEEDS
     domains: tuple = ('a', 'b', 'c')
     load: float = 0.8
@@ -63,6 +64,7 @@
     middle = WARM_MS + 5_000
     later = middle + 12_000
     found += [
+        Scenario('slots of 1 to 5', slots=(1, 5, 2, 3, 4, 1, 2)),
         Scenario(
             'one slows 10 times',
             load=0.6,
@@ -81,9 +83,7 @@
                 for n in range(13)
             ),
         ),
-        Scenario(
-            'drain at 80 %', events=((middle, 'leaving', (1, True)),)
-        ),
+        Scenario('drain at 80 %', events=((middle, 'leaving', (1, True)),)),
         Scenario(
             'a domain is lost',
             load=0.5,
@@ -111,6 +111,13 @@
     return found
 
 
+def slots_of(scenario, index):
+    """Return the slots of one target."""
+    if isinstance(scenario.slots, int):
+        return scenario.slots
+    return scenario.slots[index]
+
+
 class Run:
     """One scenario under one policy with one seed."""
 
@@ -123,14 +130,14 @@
             FakeTarget(
                 name=f't{index}',
                 domain=scenario.domains[index % len(scenario.domains)],
-                slots=scenario.slots,
+                slots=slots_of(scenario, index),
                 speed=speed,
                 timeline=self.timeline,
                 draw=faults.random,
             )
             for index, speed in enumerate(scenario.speeds)
         ]
-        self.capacity = scenario.slots * sum(scenario.speeds)
+        self.capacity = sum(one.slots * one.speed for one in self.targets)
         self.load = scenario.load
         self.counters = Counter()
         self.ended = []
@@ -205,11 +212,9 @@
         )
 
     def _arrive_one(self):
-        draw = self.random.random()
-        for priority, share, deadline_ms in self.scenario.mix:
-            if draw < share:
-                break
-            draw -= share
+        shares = [share for _name, share, _deadline in self.scenario.mix]
+        chosen = self.random.choices(self.scenario.mix, shares)[0]
+        priority, _share, deadline_ms = chosen
         self.number += 1
         request = Request(
             number=self.number,
@@ -220,7 +225,7 @@
             arrived_ms=self.timeline.now_ms,
             deadline_ms=deadline_ms,
         )
-        if WARM_MS <= self.timeline.now_ms:
+        if self.timeline.now_ms >= WARM_MS:
             self.offered_ms += request.work_ms
         self.policy.submit(request)
         self._arrive()
@@ -250,7 +255,9 @@
             one.reason for one in self.ended if one.verdict != 'ran'
         )
         sends = max(1, self.counters['sends'])
+        slowed = self._share_of_slowed()
         figures = {
+            **slowed,
             'imbalance': max(shares) / (sum(shares) / len(shares)),
             'broken': sum(
                 one.verdict in ('late', 'may_have_run') for one in self.ended
@@ -272,6 +279,35 @@
             figures[f'p99_{priority}_ms'] = _quantile(took, 0.99)
         return figures
 
+    def _share_of_slowed(self):
+        """Return the share of work that a slowed target got, of its fair.
+
+        From 5 s after it slowed until it recovered, and in the last 5 s.
+        """
+        times = [e for e in self.scenario.events if e[1] == 'speed']
+        if not times:
+            return {}
+        (slowed_ms, _kind, (index, speed)), (back_ms, *_rest) = times
+        fast = self.scenario.speeds[index]
+        others = sum(self.scenario.speeds) - fast
+        return {
+            'slowed_share': self._share(index, slowed_ms + 5_000, back_ms)
+            / (speed / (others + speed)),
+            'recovered_share': self._share(index, RUN_MS - 5_000, RUN_MS)
+            / (fast / (others + fast)),
+        }
+
+    def _share(self, index, since_ms, until_ms):
+        started = [
+            sum(
+                work_ms
+                for time_ms, work_ms in one.starts
+                if since_ms <= time_ms < until_ms
+            )
+            for one in self.targets
+        ]
+        return started[index] / sum(started)
+
 
 def _quantile(ordered, share):
     if not ordered:
--- a/src/liftmount/_internal/decisions/capacity.py
+++ b/src/liftmount/_internal/decisions/capacity.py
@@ -1,125 +1,157 @@
 """Learns what one target can carry from its own answers.
 
-Nothing is read off an age, a label or a load endpoint.  Two things are
-learnt: how many requests a target runs side by side (``limit``), and how
-fast it is beside the others of its pool (``speed``).
-
-``limit`` is proven level by level.  One request more than the limit is
-tried only while every target of the pool is full and work waits.  A level
-is proven when enough such trials were neither shed nor slower than a
-queue would explain, and is lost when the target sheds at it.
+Nothing is read off an age, a label or a load endpoint.  What is learnt is
+how many requests a target runs side by side, its ``limit``.
+
+The proof is an overtaking.  Say a request was sent as the k-th at once,
+and j others ended before it did.  The k - 1 - j that were sent earlier and
+have not ended were ahead of it in any queue, so they were running too:
+the target runs at least k - j side by side.  This holds whatever the sizes
+of the requests, so it needs no statistics of latency.  A level without
+such a proof after enough trials is taken for a queue.
 """
 
-from math import exp
-
 from attrs import define
 from attrs import Factory
 
+from liftmount._internal.utils.fading import fade
+
 INITIAL_LIMIT = 1
 MAX_LIMIT = 1_024
-# Trials that prove a level: few until the first sign of a ceiling, so
-# that a cold start is short, then enough to tell a queue from noise.
-TRIALS_AT_START = 2
-TRIALS_LATER = 16
+# Trials at a level without a proof, before it is taken for a queue.
+TRIALS = 24
+# A level that was disproved before needs fewer to be disproved again.
+TRIALS_AGAIN = 8
 CEILING_MS = 10_000
 LONGEST_CEILING_MS = 160_000
-SAMPLES_TO_DEMOTE = 24
-LEVEL_WEIGHT = 0.06
 LATENCY_WEIGHT = 0.1
-# The wait behind n busy slots is about 1/n of a service time; half of
-# that is the boundary between a slot of its own and a queue.
-QUEUE_SLOPE = 0.5
+SHED_WEIGHT = 0.1
+# Sheds at a level mean that it does not fit if they are the rule there
+# and rare below; sheds at all levels have another cause.  The shares lie
+# far enough apart that chance alone does not bridge them.
+SHED_RULE = 0.85
+SHED_RARE = 0.4
+# A target that shares its processor among all requests proves any level,
+# but gets slower.  Above this multiple of its best mean latency no higher
+# level is taken for proven; the best fades, so that a target which has
+# become slower for good may be proven anew.
+SLOWER = 2.5
+BEST_FADES = 1.001
 
 
 @define
-class _Level:
-    """Latency, relative to the target's own mean, at one concurrency."""
+class _Latency:
+    """Latency of one service: fading mean, and the best such mean."""
 
-    ratio: float = 1.0
-    samples: int = 0
+    mean_ms: float
+    best_ms: float
 
-    def add(self, ratio: float) -> None:
-        self.samples += 1
-        weight = max(LEVEL_WEIGHT, 1.0 / self.samples)
-        self.ratio += (ratio - self.ratio) * weight
+    def add(self, latency_ms: float) -> None:
+        """Note a latency."""
+        change_ms = (latency_ms - self.mean_ms) * LATENCY_WEIGHT
+        self.mean_ms = max(0.1, self.mean_ms + change_ms)
+        self.best_ms = min(self.best_ms * BEST_FADES, self.mean_ms)
 
 
 @define
 class Capacity:
     """The estimate for one target.
 
-    ``latency_ms`` maps each service to the mean latency of its requests.
-    ``ceiling_until_ms`` bars trials above the limit until then.
+    ``limit`` is proven.  ``ceiling`` is the lowest level that was
+    disproved; it is believed until ``ceiling_until_ms``.
+    ``shed_share`` maps levels to the share of requests shed there.
     """
 
     limit: int = INITIAL_LIMIT
-    latency_ms: dict[str, float] = Factory(dict)
-    levels: dict[int, _Level] = Factory(dict)
-    trials: int = 0
+    ceiling: int = MAX_LIMIT
     ceiling_until_ms: int = 0
-    ceiling_ms: int = CEILING_MS
-    ceiling_seen: bool = False
+    ceiling_length_ms: int = CEILING_MS
+    trials: int = 0
+    latencies: dict[str, _Latency] = Factory(dict)
+    shed_share: dict[int, float] = Factory(dict)
 
-    def may_try(self, now_ms: int) -> bool:
-        """Tell whether one request above the limit may be tried."""
-        return now_ms >= self.ceiling_until_ms and self.limit < MAX_LIMIT
+    def latency_ms(self, service: str) -> float | None:
+        """Return the mean latency of a service, or None when unknown."""
+        found = self.latencies.get(service)
+        return found.mean_ms if found else None
+
+    def usable_limit(self, prior: int) -> int:
+        """Return how many requests may be sent at once.
+
+        ``prior`` is what the pool's targets have proven as a rule; it
+        holds for this one until disproved.
+        """
+        return max(self.limit, min(prior, self.ceiling - 1))
+
+    def may_try(self, level: int, now_ms: int) -> bool:
+        """Tell whether a request may be tried at ``level``."""
+        if now_ms >= self.ceiling_until_ms:
+            self.ceiling = MAX_LIMIT
+        return level < self.ceiling
 
     def completed(
-        self, service: str, level: int, latency_ms: float, now_ms: int
+        self,
+        service: str,
+        level: int,
+        ended_before: int,
+        latency_ms: float,
+        now_ms: int,
     ) -> None:
-        """Note an answer to a request sent as the ``level``-th at once."""
-        mean_ms = self.latency_ms.get(service)
-        if mean_ms is None:
-            mean_ms = self.latency_ms[service] = max(latency_ms, 0.1)
-        change_ms = (latency_ms - mean_ms) * LATENCY_WEIGHT
-        self.latency_ms[service] = max(0.1, mean_ms + change_ms)
-        stats = self.levels.setdefault(level, _Level())
-        stats.add(latency_ms / mean_ms)
-        if level > self.limit:
-            self._tried(level, now_ms)
-        elif level == self.limit and level > 1:
-            self._verify(level, now_ms)
+        """Note an answer to a request sent as the ``level``-th at once.
+
+        ``ended_before`` others ended between its start and its end.
+        """
+        self._note_shed(level, False)
+        latency = self.latencies.get(service)
+        if latency is None:
+            latency = _Latency(latency_ms, latency_ms)
+            self.latencies[service] = latency
+        latency.add(latency_ms)
+        proven = level - ended_before
+        is_slower = latency.mean_ms > SLOWER * latency.best_ms
+        if proven > self.limit and not is_slower:
+            self._prove(proven)
+        elif level > self.limit:
+            self.trials += 1
+            if self.trials >= self._trials_needed():
+                self._lower_ceiling(self.limit + 1, now_ms)
 
     def shed(self, level: int, now_ms: int) -> None:
         """Note that the ``level``-th request at once was shed."""
-        # Short of the limit, fewer fit than was proven: believe it.
-        self.limit = max(INITIAL_LIMIT, min(self.limit, level - 1))
-        self._raise_ceiling(now_ms)
-
-    def _tried(self, level, now_ms):
-        self.trials += 1
-        needed = TRIALS_LATER if self.ceiling_seen else TRIALS_AT_START
-        if self.trials < needed:
-            return
-        if self._queues_at(level, 1):
-            self._raise_ceiling(now_ms)
+        share = self._note_shed(level, True)
+        if level > self.limit:
+            self._lower_ceiling(level, now_ms)
             return
-        self.limit = level
+        below = self.shed_share.get(level - 1, 0.0)
+        if level > 1 and share > SHED_RULE and below < SHED_RARE:
+            self.limit = level - 1
+            self._lower_ceiling(level, now_ms)
+
+    def _trials_needed(self):
+        was_disproved = self.ceiling_length_ms > CEILING_MS
+        return TRIALS_AGAIN if was_disproved else TRIALS
+
+    def _note_shed(self, level, was_shed):
+        share = self.shed_share.get(level, 0.0)
+        share += (was_shed - share) * SHED_WEIGHT
+        self.shed_share[level] = share
+        return share
+
+    def _prove(self, level):
+        self.limit = min(level, MAX_LIMIT)
         self.trials = 0
-        self.ceiling_ms = CEILING_MS
+        self.ceiling_length_ms = CEILING_MS
+        if self.ceiling <= self.limit:
+            self.ceiling = MAX_LIMIT
 
-    def _verify(self, level, now_ms):
-        if self.levels[level].samples < SAMPLES_TO_DEMOTE:
-            return
-        if self._queues_at(level, SAMPLES_TO_DEMOTE):
-            self.limit = level - 1
-            self._raise_ceiling(now_ms)
-
-    def _queues_at(self, level, samples):
-        """Tell whether requests at ``level`` wait for those below it."""
-        below = self.levels.get(level - 1)
-        if below is None or below.samples < samples:
-            return False
-        boundary = 1.0 + QUEUE_SLOPE / (level - 1)
-        return self.levels[level].ratio > below.ratio * boundary
-
-    def _raise_ceiling(self, now_ms):
-        self.ceiling_seen = True
+    def _lower_ceiling(self, level, now_ms):
+        self.ceiling = level
         self.trials = 0
-        self.ceiling_until_ms = now_ms + self.ceiling_ms
-        self.ceiling_ms = min(2 * self.ceiling_ms, LONGEST_CEILING_MS)
-        for level in [one for one in self.levels if one > self.limit]:
-            del self.levels[level]
+        self.ceiling_until_ms = now_ms + self.ceiling_length_ms
+        doubled_ms = 2 * self.ceiling_length_ms
+        self.ceiling_length_ms = min(doubled_ms, LONGEST_CEILING_MS)
+        for one in [key for key in self.shed_share if key > self.limit]:
+            del self.shed_share[one]
 
 
 @define
@@ -134,7 +166,6 @@
         """Account for ``in_progress`` since the last update."""
         elapsed_ms = now_ms - self.updated_ms
         if elapsed_ms > 0:
-            kept = exp(-elapsed_ms / self.fade_ms)
-            self.busy = self.busy * kept + in_progress * (1.0 - kept)
+            self.busy = fade(self.busy, in_progress, elapsed_ms, self.fade_ms)
             self.updated_ms = now_ms
         return self.busy
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -13,8 +13,9 @@
 
 from liftmount._internal.decisions.capacity import BusyShare
 from liftmount._internal.decisions.capacity import Capacity
+from liftmount._internal.decisions.capacity import INITIAL_LIMIT
 
-FADE_MS = 4_000.0
+FADE_MS = 12_000.0
 RAMP_MS = 20_000
 RAMP_START = 0.1
 FAILURES_TO_EJECT = 3
@@ -44,6 +45,18 @@
     leaving: bool = False
 
 
+@frozen
+class Start:
+    """The state of a target as a request was sent to it.
+
+    ``level`` counts those in progress, this one included; ``ended`` those
+    that had ended before.
+    """
+
+    level: int
+    ended: int
+
+
 @define
 class TargetLoad:
     """A target as its owner sees it."""
@@ -55,6 +68,7 @@
     busy: BusyShare
     leaving: bool = False
     in_progress: int = 0
+    ended: int = 0
     open_streams: int = 0
     capacity: Capacity = Factory(Capacity)
     failures: int = 0
@@ -149,21 +163,24 @@
         """Return the target for one request, or None when all are full."""
         usable = self._sample(self.usable(now_ms))
         allowed = [one for one in usable if one.name not in avoid]
-        free = [one for one in allowed if _is_free(one)]
-        if free:
-            return min(free, key=lambda one: self._score(one, now_ms))
-        return self._choose_trial(allowed, now_ms)
-
-    def _choose_trial(self, allowed, now_ms):
-        ready = [
+        prior = self._prior(allowed)
+        free = [
             one
             for one in allowed
-            if one.in_progress == one.capacity.limit
-            and one.capacity.may_try(now_ms)
+            if one.in_progress < one.capacity.usable_limit(prior)
         ]
-        if not ready:
+        if not free:
+            # Work waits and all are full: the time to learn more.
+            free = [one for one in allowed if _may_try(one, prior, now_ms)]
+        if not free:
             return None
-        return min(ready, key=lambda one: self._score(one, now_ms))
+        return min(free, key=lambda one: self._score(one, prior, now_ms))
+
+    @staticmethod
+    def _prior(targets):
+        """Return the limit that the upper quarter of the targets proved."""
+        limits = sorted(one.capacity.limit for one in targets)
+        return limits[len(limits) * 3 // 4] if limits else INITIAL_LIMIT
 
     def choose_for_stream(self, now_ms: int, avoid=()) -> TargetLoad | None:
         """Return the target for a long flow: fewest for its weight."""
@@ -180,8 +197,8 @@
 
         return min(allowed, key=load)
 
-    def _score(self, one, now_ms):
-        limit = one.capacity.limit
+    def _score(self, one, prior, now_ms):
+        limit = one.capacity.usable_limit(prior)
         busy = one.busy.update(one.in_progress, now_ms) / limit
         score = busy + IN_PROGRESS_WEIGHT * one.in_progress / limit
         if one.failure_domain != self.failure_domain:
@@ -201,16 +218,16 @@
     def _mean_latency_ms(targets):
         means = {}
         for one in targets:
-            for service, latency_ms in one.capacity.latency_ms.items():
-                means.setdefault(service, []).append(latency_ms)
+            for service, latency in one.capacity.latencies.items():
+                means.setdefault(service, []).append(latency.mean_ms)
         return {key: sum(v) / len(v) for key, v in means.items()}
 
-    def started(self, name: str, now_ms: int) -> int:
-        """Note a request sent to a target; return its concurrency level."""
+    def started(self, name: str, now_ms: int) -> Start:
+        """Note a request sent to a target."""
         target = self.targets[name]
         target.busy.update(target.in_progress, now_ms)
         target.in_progress += 1
-        return target.in_progress
+        return Start(target.in_progress, target.ended)
 
     def finished(self, name: str, now_ms: int) -> TargetLoad | None:
         """Note the end of a request; None when the target is gone."""
@@ -219,6 +236,7 @@
             return None
         target.busy.update(target.in_progress, now_ms)
         target.in_progress = max(0, target.in_progress - 1)
+        target.ended += 1
         return target
 
     def succeeded(self, name: str) -> None:
@@ -247,24 +265,27 @@
         """Estimate how long a request waits behind ``ahead`` others."""
         rate_per_ms = 0.0
         for one in self.usable(now_ms):
-            latencies = one.capacity.latency_ms.values()
-            if latencies:
-                mean_ms = sum(latencies) / len(latencies)
+            known = one.capacity.latencies.values()
+            if known:
+                mean_ms = sum(item.mean_ms for item in known) / len(known)
                 rate_per_ms += one.capacity.limit / mean_ms
         return ahead / rate_per_ms if rate_per_ms else 0.0
 
     def latency_ms(self, service: str) -> float:
         """Return the least mean latency of a service; 0 when unknown."""
-        known = [
-            one.capacity.latency_ms[service]
-            for one in self.targets.values()
-            if service in one.capacity.latency_ms
+        found = [
+            one.capacity.latency_ms(service) for one in self.targets.values()
         ]
+        known = [latency_ms for latency_ms in found if latency_ms is not None]
         return min(known, default=0.0)
 
 
-def _is_free(target) -> bool:
-    return target.in_progress < target.capacity.limit
+def _may_try(target, prior, now_ms) -> bool:
+    """Tell whether one request above the limit may be tried."""
+    level = target.capacity.usable_limit(prior) + 1
+    if target.in_progress + 1 != level:
+        return False
+    return target.capacity.may_try(level, now_ms)
 
 
 def stream_weight(target: TargetLoad, reference_ms: dict) -> float:
@@ -273,8 +294,8 @@
     The weight is its limit times its speed, where known.
     """
     speeds = [
-        reference_ms[service] / latency_ms
-        for service, latency_ms in target.capacity.latency_ms.items()
+        reference_ms[service] / latency.mean_ms
+        for service, latency in target.capacity.latencies.items()
         if service in reference_ms
     ]
     speed = sum(speeds) / len(speeds) if speeds else 1.0
--- a/src/liftmount/_internal/decisions/requests.py
+++ b/src/liftmount/_internal/decisions/requests.py
@@ -15,6 +15,7 @@
 from liftmount._internal.decisions.home import HomeState
 from liftmount._internal.decisions.home import new_flow
 from liftmount._internal.decisions.home import refuse_flow
+from liftmount._internal.decisions.pool import Start
 from liftmount._internal.decisions.window import Claim
 from liftmount._internal.decisions.window import Window
 from liftmount._internal.models.actions import AskToRebind
@@ -64,7 +65,7 @@
     arrived_ms: int
     body: bytes
     target: str = ''
-    level: int = 0
+    start: Start | None = None
     sent_ms: int = 0
     attempts: int = 0
     avoid: tuple = ()
@@ -247,7 +248,7 @@
 
 def _send(pool, request, target, now_ms):
     request.target = target.name
-    request.level = pool.started(target.name, now_ms)
+    request.start = pool.started(target.name, now_ms)
     request.sent_ms = now_ms
     request.attempts += 1
     return SendRequest(
@@ -304,8 +305,13 @@
     pool.succeeded(request.target)
     if target is not None:
         latency_ms = event.now_ms - request.sent_ms
+        start = request.start
         target.capacity.completed(
-            service.name, request.level, latency_ms, event.now_ms
+            service=service.name,
+            level=start.level,
+            ended_before=target.ended - 1 - start.ended,
+            latency_ms=latency_ms,
+            now_ms=event.now_ms,
         )
     actions = []
     if not request.finished:
@@ -322,7 +328,7 @@
     pool_state = state.pool_state(request.service.pool_key)
     target = pool_state.pool.finished(request.target, now_ms)
     if target is not None and not event.cancelled:
-        target.capacity.shed(request.level, now_ms)
+        target.capacity.shed(request.start.level, now_ms)
     actions = _after_refusal(state, pool_state, request, event)
     return actions + _dispatch(state, request.service.pool_key, now_ms)
 
--- a/tests/features/steps/home_steps.py
+++ b/tests/features/steps/home_steps.py
@@ -109,7 +109,7 @@
 @given('answers take longer than a deadline')
 def slow_answers(context):
     for target in context.bench.pool.targets.values():
-        target.capacity.latency_ms[SERVICE.name] = 9_000.0
+        target.capacity.completed(SERVICE.name, 1, 0, 9_000, 0)
 
 
 @when('request {number:d} arrives')
