--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -21,6 +21,7 @@
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_MS = 1_000
 LONGEST_EJECTION_MS = 30_000
+WEIGHTS_MS = 250
 MAX_EJECTED_SHARE = 0.5
 # Beyond this many targets a sample is compared instead of all of them.
 COMPARE_ALL = 24
@@ -74,6 +75,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until_ms: int = 0
+    weight: float = 1.0
 
     def ramp(self, now_ms: int) -> float:
         """Return the share of new flows due to a target that is new."""
@@ -90,9 +92,13 @@
     targets: dict[str, TargetLoad] = Factory(dict)
     seed: int = 1
     panics: int = 0
+    _usable: list | None = None
+    _usable_until_ms: int = 0
+    _weights_until_ms: int = 0
 
     def update(self, infos, now_ms: int) -> None:
         """Take over the targets that configuration lists."""
+        self._forget_usable()
         wanted = {info.name: info for info in infos}
         for name in set(self.targets) - set(wanted):
             del self.targets[name]
@@ -135,6 +141,7 @@
             name, target.failure_domain, incarnation, target.leaving
         )
         self.targets[name] = self._new(info, now_ms)
+        self._forget_usable()
 
     def mean_busy(self, now_ms: int) -> float:
         """Return the mean share of busy slots over all targets."""
@@ -150,19 +157,38 @@
         """Return the targets that may get new work.
 
         When more than half would be ejected, the fault is more likely on
-        this side, and ejections are ignored (panic).
+        this side, and ejections are ignored (panic).  The list holds
+        until a target changes or the next ejection ends.
         """
+        if self._usable is None or now_ms >= self._usable_until_ms:
+            self._usable = self._find_usable(now_ms)
+        return self._usable
+
+    def _find_usable(self, now_ms):
         present = [one for one in self.targets.values() if not one.leaving]
-        healthy = [one for one in present if now_ms >= one.ejected_until_ms]
+        healthy = []
+        self._usable_until_ms = now_ms + LONGEST_EJECTION_MS
+        for one in present:
+            if now_ms >= one.ejected_until_ms:
+                healthy.append(one)
+            else:
+                until_ms = min(self._usable_until_ms, one.ejected_until_ms)
+                self._usable_until_ms = until_ms
         if len(healthy) < len(present) * (1 - MAX_EJECTED_SHARE):
             self.panics += 1
             return present
         return healthy
 
+    def _forget_usable(self):
+        self._usable = None
+        self._weights_until_ms = 0
+
     def choose(self, now_ms: int, avoid=()) -> TargetLoad | None:
         """Return the target for one request, or None when all are full."""
         usable = self._sample(self.usable(now_ms))
-        allowed = [one for one in usable if one.name not in avoid]
+        allowed = usable
+        if avoid:
+            allowed = [one for one in usable if one.name not in avoid]
         prior = self._prior(allowed)
         free = [
             one
@@ -185,17 +211,24 @@
     def choose_for_stream(self, now_ms: int, avoid=()) -> TargetLoad | None:
         """Return the target for a long flow: fewest for its weight."""
         usable = self._sample(self.usable(now_ms))
-        allowed = [one for one in usable if one.name not in avoid]
-        if not allowed:
+        if avoid:
+            usable = [one for one in usable if one.name not in avoid]
+        if not usable:
             return None
-        reference_ms = self._mean_latency_ms(allowed)
-
-        def load(one):
+        if now_ms >= self._weights_until_ms:
+            self._weigh(now_ms)
+        return min(usable, key=_stream_load)
+
+    def _weigh(self, now_ms):
+        """Work the weights for long flows out anew; they change slowly."""
+        self._weights_until_ms = now_ms + WEIGHTS_MS
+        targets = self.targets.values()
+        reference_ms = self._mean_latency_ms(targets)
+        for one in targets:
             weight = stream_weight(one, reference_ms) * one.ramp(now_ms)
-            remote = one.failure_domain != self.failure_domain
-            return ((one.open_streams + 1) / weight, remote, one.name)
-
-        return min(allowed, key=load)
+            if one.failure_domain != self.failure_domain:
+                weight *= 1.0 - REMOTE_PENALTY
+            one.weight = weight
 
     def _score(self, one, prior, now_ms):
         limit = one.capacity.usable_limit(prior)
@@ -257,6 +290,7 @@
         length_ms = FIRST_EJECTION_MS << min(target.ejections, 10)
         length_ms = min(length_ms, LONGEST_EJECTION_MS)
         target.ejected_until_ms = now_ms + length_ms
+        self._forget_usable()
         target.ejections += 1
         # One more failure after the return ejects again, for longer.
         target.failures = FAILURES_TO_EJECT - 1
@@ -280,6 +314,10 @@
         return min(known, default=0.0)
 
 
+def _stream_load(target):
+    return (target.open_streams + 1) / target.weight
+
+
 def _may_try(target, prior, now_ms) -> bool:
     """Tell whether one request above the limit may be tried."""
     level = target.capacity.usable_limit(prior) + 1
--- a/src/liftmount/_internal/decisions/token.py
+++ b/src/liftmount/_internal/decisions/token.py
@@ -7,10 +7,11 @@
 
 from hashlib import blake2s
 from hmac import compare_digest
+from operator import attrgetter
 
-from attrs import astuple
 from attrs import define
 from attrs import Factory
+from attrs import fields
 from attrs import frozen
 import cbor2
 
@@ -43,7 +44,8 @@
     issued_wall_ms: int = 0
 
 
-_INNER_TYPES = (str, str, int, str, int, int, bytes, str, int, str, int)
+_NAMES = tuple(item.name for item in fields(FlowToken))
+_FIELDS = attrgetter(*_NAMES)
 
 
 @define
@@ -61,7 +63,7 @@
     """
     if ring.current is None:
         raise TokenError(Reason.NO_KEY)
-    inner = cbor2.dumps(astuple(token, recurse=False))
+    inner = cbor2.dumps(_FIELDS(token))
     mac = _mac(ring.keys[ring.current], inner)
     return cbor2.dumps([ring.current, mac, inner])
 
@@ -88,7 +90,7 @@
     if not compare_digest(_mac(secret, inner), mac):
         raise TokenError(Reason.TOKEN_FORGED)
     # Only key holders produce this, so later fields may safely be ignored.
-    return FlowToken(*cbor2.loads(inner)[: len(_INNER_TYPES)])
+    return FlowToken(*cbor2.loads(inner)[: len(_NAMES)])
 
 
 def _mac(secret, inner):
