Name key and value of every error, and test the tool

Cause: an address in a table was refused without its value and without the reason, as "addresses['guidance'] = : expected Endpoint".

Change: paths are dotted, the reason is that of the check.

--- a/src/liftmount/_internal/utils/documents.py
+++ b/src/liftmount/_internal/utils/documents.py
@@ -1,6 +1,7 @@
 """Reads documents into attrs classes and reports every problem at once."""
 
 from pathlib import Path
+import re
 import tomllib
 
 import attrs
@@ -8,6 +9,7 @@
 from cattrs import transform_error
 from cattrs.errors import ClassValidationError
 from cattrs.errors import IterableValidationError
+from cattrs.v import format_exception
 
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.models.addresses import Endpoint
@@ -15,7 +17,7 @@
 from liftmount._internal.models.problems import Problem
 
 _MISSING = object()
-_PATH_START = ' @ $.'
+_QUOTED_KEY = re.compile(r"\['([^']*)'\]")
 
 
 def _structure_endpoint(value, _kind):
@@ -79,21 +81,27 @@
 
 def _problems(error, document, source):
     problems = []
-    for line in transform_error(error, path='$'):
+    lines = transform_error(error, path='$', format_exception=_message)
+    for line in lines:
         message, _separator, path = line.partition(' @ $')
-        key = path.lstrip('.') or '(document)'
+        key = _dotted(path)
         value = _lookup(document, key)
         shown = '' if value is _MISSING else repr(value)
-        text = _innermost(error, message)
-        problems.append(Problem(source, key, shown, text))
+        problems.append(Problem(source, key, shown, message))
     return problems
 
 
-def _innermost(_error, message):
-    prefix = 'invalid value for type, expected '
-    if message.startswith(prefix):
-        return 'expected ' + message[len(prefix) :]
-    return message
+def _message(error, kind):
+    """Return what an operator can act on."""
+    if isinstance(error, ValueError) and error.args:
+        return str(error)
+    return format_exception(error, kind)
+
+
+def _dotted(path):
+    """Return a path such as ``.a['b'][0]`` as ``a.b[0]``."""
+    plain = _QUOTED_KEY.sub(r'.\1', path)
+    return plain.lstrip('.') or '(document)'
 
 
 def _lookup(document, key):
--- /dev/null
+++ b/tests/features/product/tool.feature
@@ -0,0 +1,57 @@
+@processes
+Feature: The operators' tool
+  Every command of the operators' pages, against a running deployment.
+
+  Scenario: All commands
+    Given a "small" deployment and its documents
+    When the operator runs "template list"
+    Then the tool exits with status 0 and prints "firm"
+    When the operator runs "template get firm"
+    Then the tool exits with status 0 and prints "base_version"
+    When the operator runs "template history firm"
+    Then the tool exits with status 0 and prints "VERSION"
+    When the operator runs "template validate $DIR/template-firm.toml"
+    Then the tool exits with status 0 and prints "valid"
+    When the operator runs "team validate $DIR/team-firm-a.toml"
+    Then the tool exits with status 0 and prints "valid"
+    When the operator runs "team diff $DIR/team-firm-a.toml"
+    Then the tool exits with status 0 and prints nothing
+    When the operator runs "--output json team list"
+    Then the tool prints JSON
+    When the operator runs "team get nobody"
+    Then the tool exits with status 1 and prints "there is no"
+    When the operator runs "team apply $DIR/team-firm-a.toml --wait-ms 20000"
+    Then the tool exits with status 0 and prints "in force everywhere"
+    When the operator runs "team history firm-a"
+    Then the tool exits with status 0 and prints "WRITER"
+    When the operator runs "status"
+    Then the tool exits with status 0 and prints "in force"
+    When the operator runs "target drain firm-a/guidance-1"
+    Then the tool exits with status 0 and prints "drained by version"
+    When the operator runs "target drain firm-a/guidance-1"
+    Then the tool exits with status 0 and prints "already"
+    When the operator runs "target restore firm-a/guidance-1"
+    Then the tool exits with status 0 and prints "restored"
+    When the operator runs "target drain firm-a/no-such"
+    Then the tool exits with status 1 and prints "there is no target"
+    When the operator runs "instance list"
+    Then the tool exits with status 0 and prints "lm-1"
+    When the operator runs "flow explain $ADDRESS --control $CONTROL"
+    Then the tool exits with status 0 and prints "owner"
+    When the operator runs "flow explain nowhere --control $CONTROL"
+    Then the tool exits with status 2 and prints "IP:PORT"
+    When the operator runs "flow inspect --control $CONTROL"
+    Then the tool exits with status 0 and prints "counters"
+    When the operator runs "version"
+    Then the tool exits with status 0 and prints "LIFTMOUNT"
+
+  Scenario: A team may not take what belongs to another
+    Given a "small" deployment and its documents
+    When a team asks for the addresses of firm-a
+    Then the tool exits with status 2 and prints "is the address of firm-a"
+
+  Scenario: The tool says so when the platform is out of reach
+    Given a "small" deployment and its documents
+    When the platform goes down
+    And the operator runs "status"
+    Then the tool exits with status 4 and prints "platform out of reach"
--- /dev/null
+++ b/tests/features/steps/product_steps.py
@@ -0,0 +1,242 @@
+"""Steps on settings, documents, the tool and the pages."""
+
+import ast
+import copy
+import json
+from pathlib import Path
+import re
+import subprocess
+import sys
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+import tomli_w
+
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.models.configuration import parse_team
+from liftmount._internal.models.configuration import parse_template
+from liftmount._internal.models.configuration import resolve_services
+from liftmount._internal.models.reasons import Reason
+from liftmount._internal.models.settings import Settings
+
+ROOT = Path(__file__).parents[3]
+GOOD_SETTINGS = {
+    'instance': {'name': 'lm-1', 'failure_domain': 'a'},
+    'listen': {
+        'fabric': '127.0.0.1:0',
+        'peer': '127.0.0.1:0',
+        'control': '127.0.0.1:0',
+    },
+    'fabric': {'return_address': '127.0.0.1:9'},
+    'platform': {'addresses': ['127.0.0.1:9']},
+    'limits': {},
+    'log': {},
+    'lease': {},
+    'membership': {},
+}
+TEMPLATE = {
+    'name': 'delivery-firm',
+    'services': [{'name': 'guidance', 'mode': 'stream', 'pool': 'guidance'}],
+}
+TEAM = {
+    'name': 'firm-a',
+    'template': 'delivery-firm',
+    'addresses': {'guidance': '10.1.0.1:443'},
+    'caller_prefixes': ['10.0.0.0/16'],
+    'services': {},
+    'targets': [
+        {
+            'name': f'guidance-{n}',
+            'pool': 'guidance',
+            'address': f'10.2.0.{n}:9000',
+            'failure_domain': 'a',
+        }
+        for n in (1, 2)
+    ],
+}
+
+
+@given('good settings')
+def good_settings(context):
+    context.settings = copy.deepcopy(GOOD_SETTINGS)
+    context.path = Path(context.directory) / 'liftmountd.toml'
+
+
+@when('"{key}" is set to {value}')
+def set_key(context, key, value):
+    section, _separator, name = key.partition('.')
+    context.settings[section][name] = ast.literal_eval(value)
+
+
+@given('a settings file that {state}')
+def broken_file(context, state):
+    context.settings = None
+    context.path = Path(context.directory) / 'liftmountd.toml'
+    if state == 'is not TOML':
+        context.path.write_text('[instance\nname=')
+    elif state == 'is not text':
+        context.path.write_bytes(b'\xff\xfe\x00')
+
+
+@then('the daemon exits with status {status:d}')
+def daemon_exits(context, status):
+    if context.settings is not None:
+        context.path.write_text(tomli_w.dumps(context.settings))
+    context.done = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'liftmount._internal.cli.daemon',
+            '--settings',
+            str(context.path),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert context.done.returncode == status, context.done
+
+
+@then('the error names the file, "{key}" and {shown}')
+def error_names(context, key, shown):
+    text = context.done.stderr
+    assert str(context.path) in text, text
+    assert key in text or key.rpartition('.')[0] in text, text
+    assert shown in text, text
+
+
+@then('the error names the file')
+def error_names_file(context):
+    assert str(context.path) in context.done.stderr, context.done.stderr
+
+
+@then('the error has {count:d} lines')
+def error_lines(context, count):
+    lines = context.done.stderr.strip().splitlines()
+    assert len(lines) == count, lines
+
+
+@given('a good team')
+def good_team(context):
+    context.team = copy.deepcopy(TEAM)
+    check_team(context.team)
+
+
+def check_team(document):
+    team = parse_team(document, 'team.toml')
+    template = parse_template(TEMPLATE, 'template.toml')
+    return resolve_services(team, template, 'team.toml')
+
+
+@when('the team\'s "{key}" becomes {value}')
+def change_team(context, key, value):
+    *parents, last = key.split('.')
+    place = context.team
+    for part in parents:
+        place = place[int(part)] if part.isdecimal() else place[part]
+    place[last] = ast.literal_eval(value)
+
+
+@then('the team is refused at "{key}" with "{message}"')
+def team_refused(context, key, message):
+    try:
+        check_team(context.team)
+    except ConfigurationError as error:
+        lines = [str(problem) for problem in error.problems]
+    else:
+        raise AssertionError('the team was taken')
+    matching = [line for line in lines if key in line and message in line]
+    assert matching, lines
+    assert all(line.startswith('team.toml: ') for line in lines), lines
+
+
+def settings_keys(kind=Settings, prefix=''):
+    """Return every key of the settings, dotted."""
+    keys = []
+    for item in attrs.fields(kind):
+        nested = [
+            one
+            for one in (item.type, *getattr(item.type, '__args__', ()))
+            if isinstance(one, type) and attrs.has(one)
+            and one.__name__.endswith('Settings')
+        ]  # fmt: skip
+        if nested:
+            keys += settings_keys(nested[0], f'{prefix}{item.name}.')
+        else:
+            keys.append(f'{prefix}{item.name}')
+    return keys
+
+
+@then('docs/operators/settings.md lists every key of the settings')
+def settings_page(_context):
+    text = (ROOT / 'docs/operators/settings.md').read_text()
+    keys = settings_keys()
+    assert len(keys) > 30, keys
+    missing = [key for key in keys if f'`{key}`' not in text]
+    assert not missing, missing
+    listed = re.findall(r'^\| `([a-z_.]+)`', text, re.MULTILINE)
+    stale = set(listed) - set(keys)
+    assert not stale, stale
+
+
+@then('docs/operators/counters.md lists every reason')
+def counters_page(_context):
+    text = (ROOT / 'docs/operators/counters.md').read_text()
+    listed = set(re.findall(r'^\| `([a-z_]+)`', text, re.MULTILINE))
+    reasons = {reason.value for reason in Reason}
+    assert listed == reasons, listed ^ reasons
+
+
+@given('a "{plan}" deployment and its documents')
+def deployment_and_documents(context, plan):
+    context.execute_steps(f'Given a "{plan}" deployment')
+
+
+@when('the operator runs "{arguments}"')
+def operator_runs(context, arguments):
+    deployment = context.deployment
+    replaced = {
+        '$CONTROL': deployment.control_address('lm-1'),
+        '$DIR': str(context.directory),
+        '$ADDRESS': deployment.service_address('firm-a', 'guidance'),
+    }
+    for name, value in replaced.items():
+        arguments = arguments.replace(name, value)
+    context.done = deployment.tool(*arguments.split(), check=False)
+
+
+@then('the tool exits with status {status:d} and prints "{text}"')
+def tool_exits(context, status, text):
+    done = context.done
+    assert done.returncode == status, (done.returncode, done)
+    assert text in done.stdout + done.stderr, done
+
+
+@then('the tool exits with status {status:d} and prints nothing')
+def tool_is_silent(context, status):
+    done = context.done
+    assert done.returncode == status, (done.returncode, done)
+    assert not done.stdout + done.stderr, done
+
+
+@then('the tool prints JSON')
+def prints_json(context):
+    json.loads(context.done.stdout)
+
+
+@when('a team asks for the addresses of firm-a')
+def clashing_team(context):
+    deployment = context.deployment
+    document = deployment.team_document('firm-a')
+    document['name'] = 'firm-c'
+    document['targets'] = []
+    path = Path(context.directory) / 'firm-c.toml'
+    path.write_text(tomli_w.dumps(document))
+    context.done = deployment.tool('team', 'apply', str(path), check=False)
+
+
+@when('the platform goes down')
+def platform_goes_down(context):
+    context.deployment.platform_faults(down=True)
