Make the cost of a change and of membership independent of size

Change: only doubtful members are looked at; what follows from a team is kept until it changes; claims are looked at after a change.

--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -104,6 +104,8 @@
 
     ``digest`` is that of its configuration; it is compared with each
     peer's.  ``random_seed`` makes the order of probes differ by member.
+    ``doubtful`` names the members that are not alive: only they need a
+    look at each tick.
     """
 
     own: Member
@@ -112,6 +114,7 @@
     digest: bytes = b''
     members: dict[str, Member] = Factory(dict)
     changed_ms: dict[str, int] = Factory(dict)
+    doubtful: set[str] = Factory(set)
     gossip: dict[str, int] = Factory(dict)
     probes: dict[int, _Probe] = Factory(dict)
     relayed: dict = Factory(dict)
@@ -172,6 +175,10 @@
         return []
     state.members[member.name] = member
     state.changed_ms[member.name] = now_ms
+    if member.status is MemberStatus.ALIVE:
+        state.doubtful.discard(member.name)
+    else:
+        state.doubtful.add(member.name)
     _spread(state, member.name)
     return [MemberChanged(member)]
 
@@ -224,12 +231,9 @@
 
 def _probe_lost(state):
     """Probe a seed or a dead member that may have come back."""
-    known = {one.peer for one in state.reachable()}
-    lost = [
-        one.peer
-        for one in state.members.values()
-        if one.status is MemberStatus.DEAD
-    ]
+    doubtful = [state.members[name] for name in sorted(state.doubtful)]
+    lost = [one.peer for one in doubtful if one.status is MemberStatus.DEAD]
+    known = {one.peer for one in state.members.values()}
     lost += [seed for seed in state.seeds if seed not in known]
     if not lost:
         return []
@@ -296,16 +300,18 @@
 
 def _check_suspects(state, now_ms):
     actions = []
-    for member in list(state.members.values()):
-        age_ms = now_ms - state.changed_ms[member.name]
+    for name in list(state.doubtful):
+        member = state.members[name]
+        age_ms = now_ms - state.changed_ms[name]
         if member.status is MemberStatus.SUSPECT:
             if age_ms >= state.times.suspicion_ms:
                 dead = member.with_status(MemberStatus.DEAD)
                 actions += learn(state, dead, now_ms)
-        elif not member.reachable and age_ms >= DEAD_KEPT_MS:
-            del state.members[member.name]
-            del state.changed_ms[member.name]
-            state.gossip.pop(member.name, None)
+        elif age_ms >= DEAD_KEPT_MS:
+            state.doubtful.discard(name)
+            del state.members[name]
+            del state.changed_ms[name]
+            state.gossip.pop(name, None)
     return actions
 
 
--- a/src/liftmount/_internal/decisions/rollout.py
+++ b/src/liftmount/_internal/decisions/rollout.py
@@ -75,6 +75,7 @@
     objects: dict[str, StoredObject] = Factory(dict)
     valid: dict[str, object] = Factory(dict)
     problems: dict[str, list[Problem]] = Factory(dict)
+    _by_kind: dict[str, dict] = Factory(dict)
     revision: int = 0
     _digest: int = 0
 
@@ -105,8 +106,10 @@
 
     def _parse(self, item):
         self.problems.pop(item.key, None)
+        contents = self._by_kind.setdefault(item.kind, {})
         if item.value is None:
             self.valid.pop(item.key, None)
+            contents.pop(item.name, None)
             return
         parser = _PARSERS.get(item.kind)
         if parser is None:
@@ -118,6 +121,7 @@
             self.problems[item.key] = error.problems
             return
         self.valid[item.key] = content
+        contents[item.name] = content
 
     @staticmethod
     def _check_name(item, content):
@@ -141,13 +145,7 @@
 
     def of_kind(self, kind: ObjectKind) -> dict[str, object]:
         """Return the valid contents of one kind, by name."""
-        prefix = kind.value + '/'
-        start = len(prefix)
-        return {
-            key[start:]: content
-            for key, content in self.valid.items()
-            if key.startswith(prefix)
-        }
+        return self._by_kind.get(kind.value, {})
 
 
 def _hash(item):
@@ -162,12 +160,14 @@
 
     ``services`` has only addresses whose claim names the service.
     ``wanted`` maps each address to the services that ask for it.
+    ``locations`` maps teams to their targets' names and addresses.
     """
 
     services: dict[Endpoint, Service] = Factory(dict)
     wanted: dict[Endpoint, list[Service]] = Factory(dict)
     pools: dict[str, list[Target]] = Factory(dict)
     pool_domains: dict[str, frozenset] = Factory(dict)
+    locations: dict[str, dict[str, Endpoint]] = Factory(dict)
     drained: frozenset = frozenset()
     instances: dict[str, InstanceEntry] = Factory(dict)
     keys: FlowKeys | None = None
@@ -185,6 +185,11 @@
             )
         return infos
 
+    def location(self, name: str) -> Endpoint | None:
+        """Return the address of a target by its unique name."""
+        team, _separator, target = name.partition('/')
+        return self.locations.get(team, {}).get(target)
+
     def is_leaving(self, name: str) -> bool:
         """Tell whether an operator or the instance list says so."""
         if name in self.drained:
@@ -195,10 +200,16 @@
 
 @define
 class _Resolved:
+    """What follows from one team and its template alone."""
+
     team: Team
     template: object
-    services: list
-    problems: list
+    services: list = Factory(list)
+    problems: list = Factory(list)
+    pools: dict[str, list[Target]] = Factory(dict)
+    pool_domains: dict[str, frozenset] = Factory(dict)
+    locations: dict[str, Endpoint] = Factory(dict)
+    granted: dict[str, tuple] = Factory(dict)
 
 
 @define
@@ -212,65 +223,70 @@
         templates = store.of_kind(ObjectKind.TEMPLATE)
         teams = store.of_kind(ObjectKind.TEAM)
         claims = store.of_kind(ObjectKind.CLAIM)
-        drains = store.of_kind(ObjectKind.DRAIN)
-        keys = store.of_kind(ObjectKind.FLOW_KEY).get('current')
         view = ConfigurationView(
-            drained=frozenset(drains),
-            instances=store.of_kind(ObjectKind.INSTANCE),
-            keys=keys,
+            drained=frozenset(store.of_kind(ObjectKind.DRAIN)),
+            instances=dict(store.of_kind(ObjectKind.INSTANCE)),
+            keys=store.of_kind(ObjectKind.FLOW_KEY).get('current'),
             problems=dict(store.problems),
         )
         for name in set(self._cache) - set(teams):
             del self._cache[name]
         for name, team in teams.items():
-            self._add_team(view, name, team, templates, claims)
+            resolved = self._resolve(name, team, templates)
+            if resolved.problems:
+                view.problems[f'team/{name}'] = resolved.problems
+            for service in resolved.services:
+                _add_service(view, resolved, service, claims)
+            view.locations[name] = resolved.locations
+            view.pools.update(resolved.pools)
+            view.pool_domains.update(resolved.pool_domains)
         return view
 
-    def _add_team(self, view, name, team, templates, claims):
+    def _resolve(self, name, team, templates):
         template = templates.get(team.template)
-        resolved = self._resolve(name, team, template)
-        if resolved.problems:
-            view.problems[f'team/{name}'] = resolved.problems
-        for service in resolved.services:
-            _add_service(view, service, claims)
-        for target in resolved.team.targets:
-            pool_key = f'{name}/{target.pool}'
-            view.pools.setdefault(pool_key, []).append(target)
-            known = view.pool_domains.get(pool_key, frozenset())
-            if target.failure_domain not in known:
-                domains = known | {target.failure_domain}
-                view.pool_domains[pool_key] = domains
-
-    def _resolve(self, name, team, template):
         cached = self._cache.get(name)
         if cached and cached.team is team and cached.template is template:
             return cached
-        source = f'team/{name}'
         try:
-            if template is None:
-                text = 'there is no such template'
-                value = repr(team.template)
-                problem = Problem(source, 'template', value, text)
-                raise ConfigurationError([problem])
-            services = resolve_services(team, template, source)
+            services = _fit(team, template, f'team/{name}')
         except ConfigurationError as error:
             # The team as it last fitted its template stays in force.
-            last = cached or _Resolved(team, None, [], [])
-            services = last.services
-            resolved = _Resolved(last.team, template, services, error.problems)
-            return resolved
-        resolved = _Resolved(team, template, services, [])
+            last = cached or _Resolved(team, None)
+            return evolve(last, problems=error.problems)
+        resolved = _Resolved(team, template, services)
+        _sort_into_pools(resolved)
         self._cache[name] = resolved
         return resolved
 
 
-def _add_service(view, service, claims):
+def _fit(team, template, source):
+    if template is None:
+        text = 'there is no such template'
+        problem = Problem(source, 'template', repr(team.template), text)
+        raise ConfigurationError([problem])
+    return resolve_services(team, template, source)
+
+
+def _sort_into_pools(resolved):
+    for target in resolved.team.targets:
+        key = f'{resolved.team.name}/{target.pool}'
+        resolved.pools.setdefault(key, []).append(target)
+        resolved.locations[target.name] = target.address
+    for key, targets in resolved.pools.items():
+        domains = frozenset(one.failure_domain for one in targets)
+        resolved.pool_domains[key] = domains
+
+
+def _add_service(view, resolved, service, claims):
     address = service.address
     view.wanted.setdefault(address, []).append(service)
-    claim = claims.get(str(address))
+    claim = claims.get(service.address_text)
     if claim is None or claim.state != ClaimState.HELD.value:
         return
     if (claim.team, claim.service) != (service.team, service.name):
         return
-    granted = evolve(service, generation=claim.generation)
-    view.services[address] = granted
+    known = resolved.granted.get(service.name)
+    if known is None or known[0] is not claim:
+        granted = evolve(service, generation=claim.generation)
+        known = resolved.granted[service.name] = (claim, granted)
+    view.services[address] = known[1]
--- a/src/liftmount/_internal/models/configuration.py
+++ b/src/liftmount/_internal/models/configuration.py
@@ -3,6 +3,7 @@
 from ipaddress import ip_network
 
 from attrs import Factory
+from attrs import field
 from attrs import frozen
 
 from liftmount._internal.exceptions import ConfigurationError
@@ -98,7 +99,8 @@
 class Service:
     """A team's service as the balancers serve it.
 
-    ``generation`` counts how often its address changed hands.
+    ``generation`` counts how often its address changed hands, and
+    ``pool_key`` names its pool uniquely among all teams.
     """
 
     team: str
@@ -112,12 +114,18 @@
     max_queue: int
     networks: tuple
     generation: int = 0
+    # Worked out once, since every packet needs them.
+    pool_key: str = field(init=False, eq=False)
+    address_text: str = field(init=False, eq=False)
 
-    @property
-    def pool_key(self) -> str:
-        """Return the name of its pool, unique among all teams."""
+    @pool_key.default
+    def _pool_key(self):
         return f'{self.team}/{self.pool}'
 
+    @address_text.default
+    def _address_text(self):
+        return str(self.address)
+
 
 def parse_template(document: dict, source: str) -> Template:
     """Read and check a template; raises ConfigurationError."""
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -73,6 +73,8 @@
             duration_ms=settings.lease.duration_ms,
         )
         self.view = ConfigurationView()
+        self._conflicts = {}
+        self._claims_may_be_due = False
         self._revision = 0
         self._digest = b''
         self._digests = {}
@@ -110,6 +112,8 @@
         match message:
             case ConfigurationChanged():
                 self.view = message.view
+                self._conflicts = self._conflict_problems()
+                self._claims_may_be_due = True
                 self._revision = message.revision
                 self._digest = message.digest
             case MembersChanged():
@@ -369,7 +373,7 @@
             key: '; '.join(str(problem) for problem in found)
             for key, found in self.view.problems.items()
         }
-        problems.update(self._conflict_problems())
+        problems.update(self._conflicts)
         return DomainStatus(
             failure_domain=self.identity.failure_domain,
             holder=self.identity.name,
@@ -409,7 +413,9 @@
     async def _do_duties(self):
         if self.view.keys is None or self._key_is_due():
             await self._rotate_key()
-        if self._claims_are_due():
+        if self._claims_may_be_due:
+            self._claims_may_be_due = self._claims_are_due()
+        if self._claims_may_be_due:
             await self._write_claims()
 
     def _domains(self):
--- a/src/liftmount/_internal/services/targets.py
+++ b/src/liftmount/_internal/services/targets.py
@@ -15,7 +15,7 @@
 from websockets.exceptions import WebSocketException
 
 from liftmount._internal.clock import seconds
-from liftmount._internal.decisions.rollout import target_name
+from liftmount._internal.decisions.rollout import ConfigurationView
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.kernel import Service
 from liftmount._internal.models import actions as act
@@ -65,7 +65,7 @@
         self.settings = settings
         self.counters = counters
         self.links = {}
-        self.locations = {}
+        self.view = ConfigurationView()
         self._tasks = set()
         self._local_ip = settings.listen.peer.ip
 
@@ -94,15 +94,9 @@
                 super().handle(message)
 
     def _locate(self, view):
-        self.locations = {
-            target_name(pool_key.partition('/')[0], target.name): (
-                target.address
-            )
-            for pool_key, targets in view.pools.items()
-            for target in targets
-        }
+        self.view = view
         for name, link in list(self.links.items()):
-            if self.locations.get(name) != link.location:
+            if view.location(name) != link.location:
                 link.task.cancel()
 
     def _write(self, action):
@@ -113,7 +107,7 @@
         link.post(action)
 
     def _connect(self, target):
-        location = self.locations.get(target)
+        location = self.view.location(target)
         if location is None:
             return None
         if len(self.links) >= self.settings.limits.max_connections:
