Keep doubt, drains and reports across retries and new homes

Causes, each found by a fault scenario under load: - A repeatable request whose first copy may have run was called NOT_RUN when a later copy was shed (at the home, and in the caller library). - A new home sent streams to a target that drains, since the target's word reached it after the first frames were written. - After a root of the relay tree changed back, a balancer's own old digest came back in a child's report and hid the new one; its domain stayed 'missing' and an address was never granted.

Change: doubt sticks to a request; a target's first frame says whether it drains; each child's report is kept apart and never speaks for the parent.

--- a/src/liftmount/_internal/decisions/relay.py
+++ b/src/liftmount/_internal/decisions/relay.py
@@ -5,6 +5,9 @@
 worked out from membership alone, so no one has to agree on it.
 """
 
+from attrs import define
+from attrs import Factory
+
 from liftmount._internal.models.members import Member
 
 FANOUT = 8
@@ -33,3 +36,37 @@
     if index == 0:
         return None
     return order[(index - 1) // FANOUT]
+
+
+@define
+class SubtreeReports:
+    """Who holds which configuration, in the subtree below one member.
+
+    Each child reports for its own subtree.  What a child says of this
+    member is out of date by nature, as after a change of the root, and is
+    ignored.
+    """
+
+    name: str
+    digest: bytes = b''
+    _children: dict[str, dict[str, bytes]] = Factory(dict)
+
+    def note_child(self, child: str, digests: dict[str, bytes]) -> None:
+        """Take over the report of a child."""
+        self._children[child] = dict(digests)
+
+    def drop_child(self, child: str) -> None:
+        """Forget the report of a child that is no longer one."""
+        self._children.pop(child, None)
+
+    def combined(self) -> dict[str, bytes]:
+        """Return the report of the whole subtree."""
+        found = {}
+        for digests in self._children.values():
+            found.update(digests)
+        # A child knows itself best, whatever a sibling was told.
+        for child, digests in self._children.items():
+            if child in digests:
+                found[child] = digests[child]
+        found[self.name] = self.digest
+        return found
--- a/src/liftmount/_internal/decisions/requests.py
+++ b/src/liftmount/_internal/decisions/requests.py
@@ -52,7 +52,8 @@
     """A request between its arrival and its end.
 
     ``finished`` means that its caller has the final answer, while the
-    target may still be at work on it.
+    target may still be at work on it.  ``may_have_run`` means that an
+    earlier copy was written and its fate is not known.
     """
 
     request_id: int
@@ -70,6 +71,7 @@
     attempts: int = 0
     avoid: tuple = ()
     finished: bool = False
+    may_have_run: bool = False
 
 
 def decide(state: HomeState, event) -> list:
@@ -277,10 +279,16 @@
 
 
 def _refuse(state, request, reason, now_ms):
-    """Say NOT_RUN of a request that no target has or will run."""
+    """Give a request up that no target has now.
+
+    This says NOT_RUN, unless an earlier copy may have run.
+    """
     state.pending.pop(request.request_id, None)
+    verdict = Verdict.NOT_RUN
+    if request.may_have_run:
+        verdict = Verdict.MAY_HAVE_RUN
     outcome = Outcome(
-        Verdict.NOT_RUN,
+        verdict,
         reason=reason,
         retry_after_ms=_retry_after_ms(state, request.service, now_ms),
     )
@@ -382,16 +390,14 @@
 def _after_loss(state, pool_state, request, event):
     reason = Reason.RETRY_NOT_WRITTEN
     if event.written:
+        request.may_have_run = True
         reason = Reason.RETRY_CONNECTION_LOST
     if _may_retry(pool_state, request, event.now_ms):
         request.avoid += (request.target,)
         return _requeue(pool_state, request, reason)
-    actions = [CountRetry(Reason.RETRY_BUDGET_SPENT)]
-    if event.written:
-        state.pending.pop(request.request_id, None)
-        lost = Reason.TARGET_LOST
-        return actions + _in_doubt(state, request, lost, event.now_ms)
-    return actions + _refuse(state, request, Reason.NO_TARGET, event.now_ms)
+    spent = CountRetry(Reason.RETRY_BUDGET_SPENT)
+    lost = Reason.TARGET_LOST if event.written else Reason.NO_TARGET
+    return [spent, *_refuse(state, request, lost, event.now_ms)]
 
 
 def _in_doubt(state, request, reason, now_ms):
--- a/src/liftmount/_internal/network/client.py
+++ b/src/liftmount/_internal/network/client.py
@@ -147,15 +147,15 @@
         address = _endpoint(address)
         give_up_ms = self._clock.now_ms() + deadline_ms
         self.budget.earn()
-        was_sent = False
+        in_doubt = False
         while True:
             flow = await self._ready_flow(address, give_up_ms, repeatable)
             if isinstance(flow, Outcome):
-                return _never_sent(flow, was_sent)
-            was_sent = True
+                return _all_copies(flow, in_doubt)
             outcome = await self._run(flow, body, give_up_ms)
             if not self._may_repeat(outcome, repeatable, give_up_ms):
-                return outcome
+                return _all_copies(outcome, in_doubt)
+            in_doubt = True
 
     def _may_repeat(self, outcome, repeatable, give_up_ms):
         if outcome.verdict is not Verdict.MAY_HAVE_RUN or not repeatable:
@@ -570,9 +570,9 @@
     )
 
 
-def _never_sent(outcome, was_sent):
-    """Say NOT_RUN only of a request of which no copy was ever sent."""
-    if not was_sent:
+def _all_copies(outcome, in_doubt):
+    """Say NOT_RUN only if no earlier copy of the request is in doubt."""
+    if not in_doubt or outcome.verdict is not Verdict.NOT_RUN:
         return outcome
     return Outcome(Verdict.MAY_HAVE_RUN, reason=outcome.reason)
 
--- a/src/liftmount/_internal/network/target_frames.py
+++ b/src/liftmount/_internal/network/target_frames.py
@@ -7,12 +7,16 @@
 
 @frozen
 class TargetHello:
-    """The first frame: who the target is.  Checked before any other."""
+    """The first frame: who the target is.  Checked before any other.
+
+    ``is_draining`` tells at once that it takes no new work.
+    """
 
     name: str
     team: str
     pool: str
     incarnation: int
+    is_draining: bool = False
 
 
 @frozen
--- a/src/liftmount/_internal/services/control.py
+++ b/src/liftmount/_internal/services/control.py
@@ -16,6 +16,7 @@
 from liftmount._internal.clock import seconds
 from liftmount._internal.decisions.relay import find_parent
 from liftmount._internal.decisions.relay import relay_order
+from liftmount._internal.decisions.relay import SubtreeReports
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.addresses import Endpoint
@@ -56,7 +57,7 @@
         self._server = None
         self._children = {}
         self._members = None
-        self._digests = {}
+        self._reports = SubtreeReports(identity.name)
         self._parent = None
         self._parent_socket = None
         self._parent_changed = asyncio.Event()
@@ -117,7 +118,8 @@
         data = frames.CODEC.encode(frames.Objects(rows))
         for child in self._children.values():
             child.outbox.put_nowait(data)
-        self._note_applied({self.identity.name: message.digest})
+        self._reports.digest = message.digest
+        self._report()
 
     def _choose_parent(self):
         domain = self.identity.failure_domain
@@ -127,7 +129,7 @@
         if parent != self._parent:
             self._parent = parent
             self._parent_changed.set()
-            self._note_applied({})
+            self._report()
 
     async def _follow_parent(self):
         while True:
@@ -170,7 +172,7 @@
                 hello = frames.Subscribe(self.identity.name, versions)
                 await socket.send(frames.CODEC.encode(hello))
                 self._parent_socket = socket
-                self._report_up()
+                self._report()
                 async for frame in socket:
                     self._take_objects(frame, parent.name)
         except (TimeoutError, OSError, WebSocketException) as error:
@@ -206,17 +208,13 @@
 
     # Up the tree.
 
-    def _note_applied(self, digests):
-        self._digests.update(digests)
+    def _report(self):
+        """Report for the subtree; the root tells the platform service."""
+        digests = self._reports.combined()
         if self._parent is None:
-            applied = AppliedChanged(dict(self._digests))
-            self.kernel.post('platform', applied)
-        else:
-            self._report_up()
-
-    def _report_up(self):
-        if self._parent_socket is not None:
-            data = frames.CODEC.encode(frames.Applied(self._digests))
+            self.kernel.post('platform', AppliedChanged(digests))
+        elif self._parent_socket is not None:
+            data = frames.CODEC.encode(frames.Applied(digests))
             self._spawn(self._send_quietly(self._parent_socket, data))
 
     @staticmethod
@@ -238,8 +236,9 @@
                         child = self._adopt(message, socket)
                     case frames.SyncRequest():
                         await self._answer_sync(message, socket)
-                    case frames.Applied():
-                        self._note_applied(message.digests)
+                    case frames.Applied() if child is not None:
+                        self._reports.note_child(child.name, message.digests)
+                        self._report()
                     case frames.InspectRequest():
                         await self._answer_inspect(message, socket)
         except WebSocketException:
@@ -262,6 +261,8 @@
         child.outbox.put_nowait(None)
         if self._children.get(child.name) is child:
             del self._children[child.name]
+            self._reports.drop_child(child.name)
+            self._report()
 
     async def _feed(self, child):
         while True:
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -119,7 +119,7 @@
             case MembersChanged():
                 self._members = message
             case AppliedChanged():
-                self._digests.update(message.digests)
+                self._digests = message.digests
             case Inspect():
                 message.answer.set_result(self._inspect())
             case _:
--- a/src/liftmount/_internal/services/targets.py
+++ b/src/liftmount/_internal/services/targets.py
@@ -159,8 +159,17 @@
             link.is_open = True
             met = TargetMet(link.target, hello.incarnation)
             self.kernel.post('data', met)
+            if hello.is_draining:
+                self._turn_away(link)
             await self._pump(link, socket)
 
+    def _turn_away(self, link):
+        """Give back what was meant for a target that is leaving."""
+        notice = TargetDraining(link.target, True)
+        self.kernel.post('data', notice)
+        self._report_unwritten(_new_work(link.queue), link.target)
+        link.queue.clear()
+
     async def _pump(self, link, socket):
         writer = asyncio.create_task(self._write_all(link, socket))
         try:
@@ -257,12 +266,7 @@
         for nonce in link.streams:
             lost = events.StreamLost(nonce, link.target, now_ms)
             self.kernel.post('data', lost)
-        unwritten = [
-            one
-            for one in link.queue
-            if isinstance(one, act.SendRequest | act.AttachStream)
-        ]
-        self._report_unwritten(unwritten, link.target)
+        self._report_unwritten(_new_work(link.queue), link.target)
 
     def _report_unwritten(self, actions, target):
         now_ms = self.clock.now_ms()
@@ -275,3 +279,9 @@
                 case act.AttachStream():
                     event = events.StreamLost(action.nonce, target, now_ms)
             self.kernel.post('data', event)
+
+
+def _new_work(actions):
+    """Return the actions that begin something at a target."""
+    kinds = act.SendRequest | act.AttachStream
+    return [one for one in actions if isinstance(one, kinds)]
--- a/stand_ins/target.py
+++ b/stand_ins/target.py
@@ -152,10 +152,9 @@
                 self.plan.team,
                 self.plan.pool,
                 self.incarnation,
+                self.draining,
             )
             await self._send(connection, hello)
-            if self.draining:
-                await self._notify_drain(connection)
             async for data in socket:
                 await self._on_frame(connection, frames.CODEC.decode(data))
         except WebSocketException:
--- a/tests/features/decisions/group.feature
+++ b/tests/features/decisions/group.feature
@@ -103,3 +103,9 @@
 
   Scenario: A configuration never goes back
     Then for any order of arrival every store ends alike and never reverts
+
+  Scenario: A report that comes back from above does not hide the own state
+    Given balancer "lm-2" holds digest "new" and is told "lm-1=old,lm-2=old" by child "lm-1"
+    Then it reports "lm-1=old,lm-2=new"
+    When child "lm-1" leaves it
+    Then it reports "lm-2=new"
--- a/tests/features/decisions/home.feature
+++ b/tests/features/decisions/home.feature
@@ -30,6 +30,19 @@
       | repeatable | the connection breaks once written | 2     | none         |
       | one-time   | the target says it was cancelled   | 1     | not_run      |
 
+  Scenario Outline: A repeatable request that may have run stays in doubt
+    Given the service is repeatable
+    When request 1 arrives
+    And the connection breaks once written for request 1
+    And <end> for request 1
+    Then request 1 got the verdict "may_have_run"
+
+    Examples:
+      | end                              |
+      | targets shed it until the end    |
+      | the target says it was cancelled |
+      | all connections fail unwritten   |
+
   Scenario: A cancelled request that still waits is not run
     When requests 1 to 6 arrive
     And request 6 is cancelled
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -15,7 +15,7 @@
     """End the processes of the scenario; keep logs of a failed one."""
     if context.deployment is not None:
         context.deployment.stop()
-    if scenario.status == 'failed' and context.deployment is not None:
+    if scenario.status.has_failed() and context.deployment is not None:
         print(f'Logs are in {context.directory}.')
         return
     shutil.rmtree(context.directory, ignore_errors=True)
--- a/tests/features/promises/caller.feature
+++ b/tests/features/promises/caller.feature
@@ -21,3 +21,9 @@
     And 3 balancers say that the home is gone
     Then the outcome is "may_have_run"
     And no copy is sent under another token
+
+  Scenario: A repeated request of which one copy may have run stays in doubt
+    Given a caller that opens a flow
+    When the flow is granted as "first"
+    And the home is gone for its first try, and its second is not run
+    Then the outcome is "may_have_run"
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -33,13 +33,14 @@
         self.seen = []
         self.socket = None
         self.outcome = None
+        self.second_is_not_run = False
 
-    async def run(self, deadline_ms):
+    async def run(self, deadline_ms, repeatable=False):
         local = Endpoint('127.0.0.1', 0)
         self.socket = await UdpSocket.bind(local, self.on_datagram)
         async with Client(local) as client:
             self.outcome = await client.request(
-                self.socket.address, b'body', deadline_ms
+                self.socket.address, b'body', deadline_ms, repeatable
             )
         # The caller's last packets are on their way still.
         await asyncio.sleep(0)
@@ -62,6 +63,11 @@
         self.socket.send(encode_packet(opened), source)
 
     def on_request(self, packet, source):
+        first = self.of(Request)[0]
+        if self.second_is_not_run and packet.flow_id != first.flow_id:
+            answer = Answer(packet.flow_id, packet.number, verdict='not_run')
+            self.socket.send(encode_packet(answer), source)
+            return
         if self.regrant:
             self.grant(packet.flow_id, self.regrant, source)
         for _ in range(self.gone):
@@ -107,6 +113,13 @@
     asyncio.run(context.script.run(context.deadline_ms))
 
 
+@when('the home is gone for its first try, and its second is not run')
+def second_not_run(context):
+    context.script.gone = 3
+    context.script.second_is_not_run = True
+    asyncio.run(context.script.run(20_000, repeatable=True))
+
+
 @when('nobody answers until the deadline')
 def nobody_answers(context):
     asyncio.run(context.script.run(300))
--- a/tests/features/steps/group_steps.py
+++ b/tests/features/steps/group_steps.py
@@ -15,6 +15,7 @@
 from liftmount._internal.decisions import lease
 from liftmount._internal.decisions import membership
 from liftmount._internal.decisions.ownership import Ownership
+from liftmount._internal.decisions.relay import SubtreeReports
 from liftmount._internal.decisions.rollout import ConfigurationView
 from liftmount._internal.decisions.rollout import ObjectStore
 from liftmount._internal.models.addresses import Endpoint
@@ -403,6 +404,30 @@
     assert owners(context) == context.before
 
 
+def parse_digests(text):
+    pairs = (one.split('=') for one in text.split(','))
+    return {name: digest.encode() for name, digest in pairs}
+
+
+@given(
+    'balancer "{name}" holds digest "{own}" and is told "{told}" '
+    'by child "{child}"'
+)
+def reports_of(context, name, own, told, child):
+    context.reports = SubtreeReports(name, own.encode())
+    context.reports.note_child(child, parse_digests(told))
+
+
+@when('child "{child}" leaves it')
+def child_leaves(context, child):
+    context.reports.drop_child(child)
+
+
+@then('it reports "{told}"')
+def it_reports(context, told):
+    assert context.reports.combined() == parse_digests(told)
+
+
 @then('for any order of arrival every store ends alike and never reverts')
 def stores_alike(_context):
     items = [
--- a/tests/features/steps/home_steps.py
+++ b/tests/features/steps/home_steps.py
@@ -135,6 +135,14 @@
 @when('{what} for request {number:d}')
 def something_happens(context, what, number):
     bench = context.bench
+    repeats = {
+        'targets shed it until the end': 'the target sheds it',
+        'all connections fail unwritten': 'the connection fails unwritten',
+    }
+    if what in repeats:
+        while bench.ids[number] in bench.state.pending:
+            something_happens(context, repeats[what], number)
+        return
     request_id = bench.ids.get(number)
     bench.now_ms += 50
     now_ms = bench.now_ms
