Let the cost of control grow with changes, not with size

Cause: worked out for the target size, the lease holder would list 135 KB of versions every 10 s and 2.7 MB of instances every second, and inner members of the relay tree would send 58 KB of reports for each change.

Change: lists ask for what is newer than the last revision, all of it every 5 minutes; reports are sent once for all that come within 50 ms.

--- a/benches/path.py
+++ b/benches/path.py
@@ -86,6 +86,9 @@
     parser.add_argument('--streams', type=int, default=600)
     parser.add_argument('--group', type=int, default=0)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--steady-only', action='store_true', help='no callers, no changes'
+    )
     options = parser.parse_args(arguments)
     plan = ALL_PLANS[options.deployment](options.streams)
     if options.group:
@@ -107,6 +110,9 @@
     deployment.start()
     time.sleep(SETTLE_S)
     document = measure_steady(deployment, options.seconds)
+    document['balancers'] = len(deployment.balancers)
+    if options.steady_only:
+        return document
     for team in deployment.plan.teams:
         deployment.start_callers(team)
     time.sleep(2 * SETTLE_S)
@@ -125,7 +131,6 @@
     deployment.platform_faults(delay_ms=SLOW_MS)
     slow = [measure_change(deployment, CHANGES + n) for n in range(CHANGES)]
     return document | {
-        'balancers': len(deployment.balancers),
         'faults': report.faults(),
         'requests': report.requests,
         'may_have_run_share': report.may_have_run_share,
--- a/src/liftmount/_internal/platform/client.py
+++ b/src/liftmount/_internal/platform/client.py
@@ -31,7 +31,7 @@
 
 @frozen
 class InstanceListing:
-    """The platform's instance list; it lags."""
+    """The platform's instance list, or what is new in it; it lags."""
 
     revision: int
     instances: list[InstanceEntry]
@@ -110,11 +110,16 @@
         """Return an object, or None when there is none."""
         return _parse_object(await self._call('GET', f'/objects/{key}'))
 
-    async def list(self, kinds, with_values: bool = True) -> Listing:
-        """Return all objects of some kinds; deleted ones without value."""
+    async def list(
+        self, kinds, with_values: bool = True, since: int = 0
+    ) -> Listing:
+        """Return the objects of some kinds that are newer than ``since``.
+
+        Deleted ones come without value.
+        """
         names = ','.join(kind.value for kind in kinds)
         values = '1' if with_values else '0'
-        path = f'/objects?kinds={names}&values={values}'
+        path = f'/objects?kinds={names}&values={values}&since={since}'
         document = await self._call('GET', path)
         objects = [_parse_object(one) for one in document['objects']]
         return Listing(document['revision'], objects)
@@ -146,9 +151,12 @@
         document = await self._call('GET', path, wait_ms + WATCH_MARGIN_MS)
         return document['revision']
 
-    async def instances(self) -> InstanceListing:
-        """Return the platform's list of instances."""
-        document = await self._call('GET', '/instances')
+    async def instances(self, since: int = 0) -> InstanceListing:
+        """Return the entries of the instance list newer than ``since``.
+
+        An entry that was removed comes with the state ``gone``.
+        """
+        document = await self._call('GET', f'/instances?since={since}')
         rows = [
             InstanceEntry(
                 name=row['name'],
--- a/src/liftmount/_internal/services/control.py
+++ b/src/liftmount/_internal/services/control.py
@@ -32,6 +32,7 @@
 CONNECT_MS = 1_000
 PING_MS = 5_000
 RECONNECT_MS = 200
+REPORT_MS = 50
 INSPECT_MS = 2_000
 MAX_FRAME_BYTES = 64 * 1_048_576
 
@@ -58,6 +59,7 @@
         self._children = {}
         self._members = None
         self._reports = SubtreeReports(identity.name)
+        self._report_due = None
         self._parent = None
         self._parent_socket = None
         self._parent_changed = asyncio.Event()
@@ -84,6 +86,8 @@
         """Close all connections."""
         for task in list(self._tasks):
             task.cancel()
+        if self._report_due is not None:
+            self._report_due.cancel()
         if self._server is not None:
             self._server.close()
 
@@ -209,7 +213,14 @@
     # Up the tree.
 
     def _report(self):
-        """Report for the subtree; the root tells the platform service."""
+        """Report for the subtree soon, once for all that comes at once."""
+        if self._report_due is None:
+            loop = asyncio.get_running_loop()
+            delay_s = seconds(REPORT_MS)
+            self._report_due = loop.call_later(delay_s, self._report_now)
+
+    def _report_now(self):
+        self._report_due = None
         digests = self._reports.combined()
         if self._parent is None:
             self.kernel.post('platform', AppliedChanged(digests))
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -46,6 +46,8 @@
 SECRET_BYTES = 32
 BALANCER_ROLE = 'balancer'
 LIVE = 'live'
+GONE = 'gone'
+LIST_ALL_MS = 300_000
 # Failed calls in a row before another member is to try.
 FAILURES_TO_YIELD = 2
 # Members that try again while no one reaches the platform.
@@ -79,12 +81,14 @@
         self._digest = b''
         self._digests = {}
         self._members = None
-        self._instances = []
+        self._instances = {}
         self._is_reached = True
         self._failures = 0
         self._retry_at_ms = 0
         self._listed_revision = -1
         self._must_list = True
+        self._list_all_ms = 0
+        self._instance_revision = 0
         self._next_poll_ms = 0
         self._status = None
         self._status_version = None
@@ -167,6 +171,7 @@
             LOG.info('The platform is in reach again.')
             self._is_reached = True
             self._must_list = True
+            self._list_all_ms = 0
             self.kernel.post('peers', PlatformReached(True))
 
     def _note_failure(self, error):
@@ -193,6 +198,7 @@
                 except ConflictError as error:
                     LOG.info('Another writer was first: %s.', error)
                     self._must_list = True
+                    self._list_all_ms = 0
                 except (PlatformError, ConfigurationError) as error:
                     LOG.warning('The platform refused: %s.', error)
             await asyncio.sleep(seconds(STEP_MS))
@@ -233,8 +239,19 @@
     # Reading.
 
     async def _list(self):
-        """Fetch versions, then the objects that are new here."""
-        listing = await self.client.list(SPREAD_KINDS, with_values=False)
+        """Fetch versions, then the objects that are new here.
+
+        Only what changed since the last time is listed, but now and then
+        everything, as a safeguard.
+        """
+        now_ms = self.clock.now_ms()
+        since = max(0, self._listed_revision)
+        if now_ms >= self._list_all_ms:
+            self._list_all_ms = now_ms + LIST_ALL_MS
+            since = 0
+        listing = await self.client.list(
+            SPREAD_KINDS, with_values=False, since=since
+        )
         known = self.kernel.lookup('configuration').store.versions()
         newer = [
             item
@@ -260,27 +277,40 @@
         return fetched
 
     async def _read_instances(self):
-        listing = await self.client.instances()
-        self._instances = listing.instances
-        known = self.kernel.lookup('configuration').store
-        current = {
-            f'{ObjectKind.INSTANCE.value}/{entry.name}': asdict(entry)
-            for entry in listing.instances
-        }
-        held = {
-            key: item.value
-            for key, item in known.objects.items()
-            if item.kind == ObjectKind.INSTANCE.value
-        }
-        changed = [
-            StoredObject(key, listing.revision, current.get(key))
-            for key in current.keys() | held.keys()
-            if current.get(key) != held.get(key)
-        ]
+        listing = await self.client.instances(self._instance_revision)
+        if listing.revision < self._instance_revision:
+            # The platform counts anew; so must this balancer.
+            self._instance_revision = 0
+            return
+        changed = []
+        if self._instance_revision == 0:
+            changed = self._forget_unlisted(listing)
+        for entry in listing.instances:
+            key = f'{ObjectKind.INSTANCE.value}/{entry.name}'
+            value = asdict(entry)
+            if entry.state == GONE:
+                value = None
+                self._instances.pop(entry.name, None)
+            else:
+                self._instances[entry.name] = entry
+            changed.append(StoredObject(key, listing.revision, value))
+        self._instance_revision = listing.revision
         if changed:
             arrived = ObjectsArrived(changed, 'the instance list')
             self.kernel.post('configuration', arrived)
 
+    def _forget_unlisted(self, listing):
+        """Return deletions of what a whole list no longer has."""
+        listed = {entry.name for entry in listing.instances}
+        self._instances.clear()
+        return [
+            StoredObject(item.key, listing.revision, None)
+            for item in self._store().objects.values()
+            if item.kind == ObjectKind.INSTANCE.value
+            and item.value is not None
+            and item.name not in listed
+        ]
+
     # The lease.
 
     async def _keep_lease(self, now_ms):
@@ -394,7 +424,7 @@
         domain = self.identity.failure_domain
         names = {
             entry.name
-            for entry in self._instances
+            for entry in self._instances.values()
             if entry.role == BALANCER_ROLE
             and entry.failure_domain == domain
             and entry.state == LIVE
@@ -421,7 +451,7 @@
     def _domains(self):
         return {
             entry.failure_domain
-            for entry in self._instances
+            for entry in self._instances.values()
             if entry.role == BALANCER_ROLE and entry.state == LIVE
         } | {self.identity.failure_domain}
 
--- /dev/null
+++ b/src/liftmount/membership.py
@@ -0,0 +1,39 @@
+"""Membership of a group, ownership of keys, and leases."""
+
+from liftmount._internal.decisions.membership import BudgetSpent
+from liftmount._internal.decisions.membership import decide
+from liftmount._internal.decisions.membership import DigestDiffers
+from liftmount._internal.decisions.membership import farewell
+from liftmount._internal.decisions.membership import make_membership
+from liftmount._internal.decisions.membership import MemberChanged
+from liftmount._internal.decisions.membership import MembershipState
+from liftmount._internal.decisions.membership import MembershipTimes
+from liftmount._internal.decisions.membership import MessageArrived
+from liftmount._internal.decisions.membership import SendDatagram
+from liftmount._internal.decisions.ownership import Ownership
+from liftmount._internal.decisions.relay import find_parent
+from liftmount._internal.decisions.relay import relay_order
+from liftmount._internal.decisions.relay import SubtreeReports
+from liftmount._internal.models.events import Tick
+from liftmount._internal.models.members import Member
+from liftmount._internal.models.members import MemberStatus
+
+__all__ = (
+    'BudgetSpent',
+    'decide',
+    'DigestDiffers',
+    'farewell',
+    'find_parent',
+    'make_membership',
+    'Member',
+    'MemberChanged',
+    'MembershipState',
+    'MembershipTimes',
+    'MemberStatus',
+    'MessageArrived',
+    'Ownership',
+    'relay_order',
+    'SendDatagram',
+    'SubtreeReports',
+    'Tick',
+)
--- /dev/null
+++ b/src/liftmount/windows.py
@@ -0,0 +1,9 @@
+"""Request numbers that are used once."""
+
+from liftmount._internal.decisions.window import Claim
+from liftmount._internal.decisions.window import Window
+
+__all__ = (
+    'Claim',
+    'Window',
+)
--- a/stand_ins/platform.py
+++ b/stand_ins/platform.py
@@ -138,13 +138,17 @@
         return web.json_response({'version': self.revision})
 
     async def list_objects(self, request):
-        """Answer with all objects of some kinds, deleted ones too."""
+        """Answer with objects of some kinds, deleted ones too.
+
+        With ``since`` only those with a higher version.
+        """
         kinds = request.query.get('kinds', '').split(',')
         with_values = request.query.get('values', '1') == '1'
+        since = int(request.query.get('since', '0'))
         found = [
             one if with_values else {k: one[k] for k in ('key', 'version')}
             for key, one in self.objects.items()
-            if key.partition('/')[0] in kinds
+            if key.partition('/')[0] in kinds and one['version'] > since
         ]
         return web.json_response({'revision': self.revision, 'objects': found})
 
@@ -174,13 +178,20 @@
     def _is_news(self, kinds, since):
         return not self.faults.skip_watch and self._newest(kinds) > since
 
-    async def list_instances(self, _request):
-        """Answer with the list as it was a while ago."""
+    async def list_instances(self, request):
+        """Answer with the list as it was a while ago.
+
+        With ``since`` only what changed after that revision; entries that
+        were removed have the state ``gone``.
+        """
+        since = int(request.query.get('since', '0'))
+        found = [
+            entry
+            for revision, entry in self.visible.values()
+            if revision > since and (since or entry['state'] != 'gone')
+        ]
         return web.json_response(
-            {
-                'revision': self.instance_revision,
-                'instances': list(self.visible.values()),
-            }
+            {'revision': self.instance_revision, 'instances': found}
         )
 
     async def put_instance(self, request):
@@ -203,9 +214,10 @@
     def _show(self, name, entry):
         self.instance_revision += 1
         if entry is None:
-            self.visible.pop(name, None)
-        else:
-            self.visible[name] = entry
+            known = self.visible.get(name, (0, {'name': name}))[1]
+            gone = {'failure_domain': '', 'role': '', **known}
+            entry = {**gone, 'state': 'gone'}
+        self.visible[name] = (self.instance_revision, entry)
 
     async def set_faults(self, request):
         """Change what goes wrong."""
