--- a/stand_ins/callers.py
+++ b/stand_ins/callers.py
@@ -24,7 +24,8 @@
 from stand_ins.records import Recorder
 from stand_ins.workload import Work
 
-# A stream that stays behind its due events for this long is broken.
+# A stream that is silent, or behind its due events, for this long is
+# broken.
 LATE_MS = 5_000
 OPEN_MS = 15_000
 STOP_MS = 8_000
@@ -161,10 +162,18 @@
             due_ms = plan.start_ms + found.sequence * plan.interval_ms
             worst_ms = max(worst_ms, self.clock.wall_ms() - due_ms)
         stopped.cancel()
-        behind = plan.due(self.clock.wall_ms()) - stream.sequence
-        if behind * plan.interval_ms > LATE_MS:
-            return f'{behind} events behind', worst_ms
-        return '', worst_ms
+        return await self._catch_up(stream, plan), worst_ms
+
+    async def _catch_up(self, stream, plan):
+        """Wait for all events that were due; a stuck stream never ends."""
+        due = plan.due(self.clock.wall_ms())
+        try:
+            async with asyncio.timeout(LATE_MS / 1000):
+                while stream.sequence < due:
+                    await anext(stream)
+        except (TimeoutError, LiftmountError):
+            return f'{due - stream.sequence} events behind'
+        return ''
 
     def _record_stream(self, name, stream, problem, late_ms):
         self.recorder.write(
