--- a/src/liftmount/_internal/decisions/routing.py
+++ b/src/liftmount/_internal/decisions/routing.py
@@ -163,6 +163,10 @@
     so nothing is said of whether it ran.
     """
     packet = event.packet
+    if isinstance(packet, Close | Cancel):
+        # Nothing is left to close; an answer would be taken for news of
+        # the flow that came in its place.
+        return RefusePacket(Reason.HOME_GONE)
     if not isinstance(packet, Keepalive) or service.mode != 'stream':
         return RefusePacket(Reason.HOME_GONE, answer=True)
     owner = state.owner(service)
--- a/src/liftmount/_internal/network/stream.py
+++ b/src/liftmount/_internal/network/stream.py
@@ -12,7 +12,7 @@
 from liftmount._internal.network.caller_flow import StreamEnded
 from liftmount._internal.network.caller_flow import StreamEvent
 
-KEEPALIVE_MS = 500
+KEEPALIVE_MS = 1_000
 REPAIR_MS = 80
 OVERLAP_MS = 1_500
 REBIND_MS = 10_000
@@ -33,7 +33,7 @@
         self._old = {}
         self._early = {}
         self._events = asyncio.Queue(EVENTS_BUFFERED)
-        self._gap_since_ms = None
+        self._gap_noticed = asyncio.Event()
         self._rebinding = None
         self._closed = False
         self.sequence = sequence
@@ -80,10 +80,8 @@
             self.sequence += 1
             body = self._early.pop(self.sequence)
             await self._events.put(StreamEvent(self.sequence, body))
-        if not self._early:
-            self._gap_since_ms = None
-        elif self._gap_since_ms is None:
-            self._gap_since_ms = self._client.clock.now_ms()
+        if self._early:
+            self._gap_noticed.set()
 
     def _start_rebind(self, flow):
         if flow is not self._flow or self._rebinding is not None:
@@ -115,20 +113,23 @@
 
     async def keep_alive(self) -> None:
         """Send keepalives, sooner while an event is missing."""
-        next_ms = 0
         while not self._closed:
-            now_ms = self._client.clock.now_ms()
-            if now_ms >= next_ms or self._has_gap(now_ms):
-                next_ms = now_ms + KEEPALIVE_MS
-                self._send_keepalive()
-            for old in [o for o, end in self._old.items() if now_ms >= end]:
-                del self._old[old]
-                self._client.close_flow(old)
-            await asyncio.sleep(seconds(REPAIR_MS))
-
-    def _has_gap(self, now_ms):
-        since_ms = self._gap_since_ms
-        return since_ms is not None and now_ms - since_ms >= REPAIR_MS
+            self._send_keepalive()
+            self._drop_old()
+            self._gap_noticed.clear()
+            try:
+                async with asyncio.timeout(seconds(KEEPALIVE_MS)):
+                    await self._gap_noticed.wait()
+                    # What is missing may only be late.
+                    await asyncio.sleep(seconds(REPAIR_MS))
+            except TimeoutError:
+                pass
+
+    def _drop_old(self):
+        now_ms = self._client.clock.now_ms()
+        for old in [o for o, end in self._old.items() if now_ms >= end]:
+            del self._old[old]
+            self._client.close_flow(old)
 
     def _send_keepalive(self):
         flow = self._flow
