Read statuses in one place, and choose a target once

Cause: a reading of the whole change. The tool and the lease holder read the statuses by the same code twice, the words of the instance list stood twice, the kernel and the platform service kept code and state that nothing used, and each dispatch chose its target twice.

Change: one module reads statuses; the words stand beside the objects; the dead code is gone; a second choice is made only for a request that a target shed before. The exploration uses the service of the home's steps.

No time was measured, and no behaviour is meant to change.

--- a/src/liftmount/_internal/commands/in_force.py
+++ b/src/liftmount/_internal/commands/in_force.py
@@ -3,13 +3,10 @@
 from attrs import frozen
 
 from liftmount._internal.decisions.claims import in_force
-from liftmount._internal.models.objects import DomainStatus
-from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.models.objects import BALANCER_ROLE
+from liftmount._internal.models.objects import LIVE
 from liftmount._internal.platform.client import PlatformClient
-from liftmount._internal.utils.documents import structure
-
-BALANCER_ROLE = 'balancer'
-LIVE = 'live'
+from liftmount._internal.platform.statuses import read_statuses
 
 
 @frozen
@@ -20,16 +17,6 @@
     why: str = ''
 
 
-async def read_statuses(client: PlatformClient) -> list[DomainStatus]:
-    """Return the status of each failure domain."""
-    listing = await client.list([ObjectKind.STATUS])
-    return [
-        structure(item.value, DomainStatus, item.key)
-        for item in listing.objects
-        if item.value is not None
-    ]
-
-
 async def live_domains(client: PlatformClient) -> set[str]:
     """Return the failure domains that have live balancers."""
     listing = await client.instances()
--- a/src/liftmount/_internal/commands/status.py
+++ b/src/liftmount/_internal/commands/status.py
@@ -11,8 +11,8 @@
 from liftmount._internal.cli.base import STATUS_OK
 from liftmount._internal.clock import seconds
 from liftmount._internal.commands.in_force import live_domains
-from liftmount._internal.commands.in_force import read_statuses
 from liftmount._internal.models.objects import SPREAD_KINDS
+from liftmount._internal.platform.statuses import read_statuses
 
 WATCH_MS = 1_000
 IN_FORCE = 'in force'
--- a/src/liftmount/_internal/decisions/requests.py
+++ b/src/liftmount/_internal/decisions/requests.py
@@ -234,13 +234,15 @@
     pool_state = state.pool_state(pool_key)
     actions = []
     while len(pool_state.queue):
-        if pool_state.pool.choose(now_ms) is None:
+        target = pool_state.pool.choose(now_ms)
+        if target is None:
             break
         request = pool_state.queue.pop()
-        target = pool_state.pool.choose(now_ms, request.avoid)
-        if target is None:
-            # Only targets that shed it before are free: try one again.
-            target = pool_state.pool.choose(now_ms)
+        if request.avoid:
+            # If only targets that shed it before are free, one is tried
+            # again.
+            other = pool_state.pool.choose(now_ms, request.avoid)
+            target = other or target
         actions.append(_send(pool_state.pool, request, target, now_ms))
     return actions
 
--- a/src/liftmount/_internal/kernel.py
+++ b/src/liftmount/_internal/kernel.py
@@ -101,10 +101,3 @@
         finally:
             for service in reversed(self.services.values()):
                 await service.stop()
-
-
-async def repeat(clock: Clock, interval_ms: int, call) -> None:
-    """Call ``call()`` at an interval until cancelled."""
-    while True:
-        call()
-        await asyncio.sleep(interval_ms / 1000)
--- a/src/liftmount/_internal/models/objects.py
+++ b/src/liftmount/_internal/models/objects.py
@@ -28,6 +28,9 @@
     ObjectKind.CLAIM,
     ObjectKind.DRAIN,
 )
+# Words of the platform's instance list.
+BALANCER_ROLE = 'balancer'
+LIVE = 'live'
 FLOW_KEY_OBJECT = 'flow-key/current'
 
 
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -28,15 +28,18 @@
 from liftmount._internal.models.messages import MembersChanged
 from liftmount._internal.models.messages import ObjectsArrived
 from liftmount._internal.models.messages import PlatformReached
+from liftmount._internal.models.objects import BALANCER_ROLE
 from liftmount._internal.models.objects import ClaimState
 from liftmount._internal.models.objects import DomainStatus
 from liftmount._internal.models.objects import FLOW_KEY_OBJECT
+from liftmount._internal.models.objects import LIVE
 from liftmount._internal.models.objects import ObjectKind
 from liftmount._internal.models.objects import SPREAD_KINDS
 from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.reasons import Reason
 from liftmount._internal.platform.client import PlatformClient
 from liftmount._internal.platform.client import write_and_resolve
+from liftmount._internal.platform.statuses import read_statuses
 from liftmount._internal.utils.documents import structure
 
 LOG = logging.getLogger('liftmount.platform')
@@ -44,8 +47,6 @@
 RETRY_MS = 5_000
 WATCH_RETRY_MS = 300
 SECRET_BYTES = 32
-BALANCER_ROLE = 'balancer'
-LIVE = 'live'
 GONE = 'gone'
 LIST_ALL_MS = 300_000
 # Failed calls in a row before another member is to try.
@@ -92,8 +93,6 @@
         self._next_poll_ms = 0
         self._status = None
         self._status_version = None
-        self._statuses = []
-        self._has_candidacy = False
 
     async def start(self):
         """Follow members and configuration."""
@@ -455,14 +454,6 @@
             if entry.role == BALANCER_ROLE and entry.state == LIVE
         } | {self.identity.failure_domain}
 
-    async def _read_statuses(self):
-        listing = await self.client.list([ObjectKind.STATUS])
-        return [
-            structure(item.value, DomainStatus, item.key)
-            for item in listing.objects
-            if item.value is not None
-        ]
-
     def _key_is_due(self):
         keys = self.view.keys
         newest = max(keys.keys, key=lambda one: one.id)
@@ -474,7 +465,7 @@
     async def _rotate_key(self):
         found = self._store().objects.get(FLOW_KEY_OBJECT)
         version = found.version if found else 0
-        statuses = await self._read_statuses() if found else []
+        statuses = await read_statuses(self.client) if found else []
         times = key_decisions.RotationTimes(
             self.settings.lease.key_rotation_ms,
             self.settings.lease.key_overlap_ms,
@@ -525,7 +516,7 @@
         }
 
     async def _write_claims(self):
-        statuses = await self._read_statuses()
+        statuses = await read_statuses(self.client)
         steps = claim_decisions.decide(
             self.view, self._claims(), statuses, self._domains()
         )
--- a/tests/features/steps/exploration_steps.py
+++ b/tests/features/steps/exploration_steps.py
@@ -1,12 +1,12 @@
 """Steps that explore all interleavings of small worlds."""
 
 from copy import deepcopy
-from ipaddress import ip_network
 
 from attrs import define
 from attrs import Factory
 from behave import then
 from behave import when
+from home_steps import SERVICE
 
 from liftmount._internal.decisions import claims
 from liftmount._internal.decisions import requests
@@ -17,7 +17,6 @@
 from liftmount._internal.models import actions as act
 from liftmount._internal.models import events
 from liftmount._internal.models.addresses import Endpoint
-from liftmount._internal.models.configuration import Service
 from liftmount._internal.models.objects import Claim
 from liftmount._internal.models.objects import DomainStatus
 from liftmount._internal.models.objects import StoredObject
@@ -26,18 +25,6 @@
 CALLERS = ('c1', 'c2')
 HOMES = ('b1', 'b2')
 NOW_MS = 1_000
-SERVICE = Service(
-    team='firm-a',
-    name='confirmations',
-    mode='request',
-    pool='guidance',
-    address=Endpoint('10.1.0.1', 443),
-    priority='urgent',
-    repeatable=False,
-    deadline_ms=5_000,
-    max_queue=8,
-    networks=(ip_network('10.0.0.0/8'),),
-)
 
 
 def caller_address(caller):
