--- /dev/null
+++ b/src/liftmount/_internal/decisions/directory.py
@@ -0,0 +1,157 @@
+"""What a balancer believes of the targets, from what the store tells.
+
+Entries vanish for two reasons: a target is gone, or the store was away and
+its entry lapsed.  An entry that goes without having said that it drains is
+doubted for a while, as a target that lives writes it again.  Unless there
+was trouble with the store, a doubted target is the last choice for new
+flows.
+"""
+
+from attrs import define
+from attrs import Factory
+from attrs import frozen
+
+from liftmount._internal.models.segments import TargetEntry
+from liftmount._internal.models.ticks import Tick
+
+# Targets that live write their entries within about two seconds of the
+# store's return; the rest is the way of a watch's answer.
+LAPSE_MS = 2_500
+
+
+@frozen
+class TargetsListed:
+    """A whole list of entries, as of ``revision``."""
+
+    entries: tuple[TargetEntry, ...]
+    revision: int
+    now_ms: int
+
+
+@frozen
+class TargetsChanged:
+    """Entries written and removed up to ``revision``, oldest first."""
+
+    written: tuple[TargetEntry, ...]
+    removed: tuple[str, ...]
+    revision: int
+    now_ms: int
+
+
+@frozen
+class StoreLost:
+    """A call to the store got no usable answer."""
+
+    now_ms: int
+
+
+@frozen
+class EntryBelieved:
+    """A target is there, and this is what it says of itself."""
+
+    entry: TargetEntry
+
+
+@frozen
+class EntryDoubted:
+    """A target's entry vanished, and may come back."""
+
+    entry: TargetEntry
+
+
+@frozen
+class EntryGone:
+    """A target has ended; ``was_draining`` tells whether it said so."""
+
+    entry: TargetEntry
+    was_draining: bool
+
+
+@define
+class DirectoryState:
+    """Entries believed, and those missing since trouble with the store.
+
+    ``doubted`` maps names to the time at which a missing entry is taken
+    as gone.  ``trusted_from_ms``: removals before it may be lapses.
+    """
+
+    entries: dict[str, TargetEntry] = Factory(dict)
+    doubted: dict[str, int] = Factory(dict)
+    revision: int = 0
+    is_listed: bool = False
+    trusted_from_ms: int = 0
+
+
+def decide(state: DirectoryState, event) -> list:
+    """Return what changed in the belief."""
+    match event:
+        case TargetsListed():
+            return _listed(state, event)
+        case TargetsChanged():
+            return _changed(state, event)
+        case StoreLost():
+            state.trusted_from_ms = event.now_ms + LAPSE_MS
+            return []
+        case Tick():
+            return _expire(state, event.now_ms)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _listed(state, event):
+    # A list read from a lagging replica must not take anything back.
+    if event.revision < state.revision:
+        return []
+    state.revision = event.revision
+    state.is_listed = True
+    actions = []
+    for entry in event.entries:
+        actions += _written(state, entry)
+    present = {entry.name for entry in event.entries}
+    for name in [one for one in state.entries if one not in present]:
+        actions += _removed(state, name, event.now_ms)
+    return actions
+
+
+def _changed(state, event):
+    state.revision = max(state.revision, event.revision)
+    actions = []
+    for entry in event.written:
+        actions += _written(state, entry)
+    for name in event.removed:
+        actions += _removed(state, name, event.now_ms)
+    return actions
+
+
+def _written(state, entry):
+    was_doubted = state.doubted.pop(entry.name, None) is not None
+    if state.entries.get(entry.name) == entry and not was_doubted:
+        return []
+    state.entries[entry.name] = entry
+    return [EntryBelieved(entry)]
+
+
+def _removed(state, name, now_ms):
+    entry = state.entries.get(name)
+    if entry is None or name in state.doubted:
+        return []
+    if entry.draining:
+        return _gone(state, name)
+    state.doubted[name] = now_ms + LAPSE_MS
+    if now_ms < state.trusted_from_ms:
+        return []
+    return [EntryDoubted(entry)]
+
+
+def _gone(state, name):
+    state.doubted.pop(name, None)
+    entry = state.entries.pop(name)
+    return [EntryGone(entry, entry.draining)]
+
+
+def _expire(state, now_ms):
+    actions = []
+    for name, until_ms in list(state.doubted.items()):
+        # Further trouble may have moved the time.
+        if now_ms >= max(until_ms, state.trusted_from_ms):
+            actions += _gone(state, name)
+    return actions
--- /dev/null
+++ b/src/liftmount/_internal/decisions/following.py
@@ -0,0 +1,138 @@
+"""How one kind of object in the store is followed: lists and watches.
+
+A list gives the first picture; watches from its revision on tell what
+changes.  Each call costs, an answered watch too, so changes are collected
+for a moment before the next watch.  No answer is never taken for "nothing
+has changed": the same watch is asked again.
+"""
+
+from attrs import define
+from attrs import frozen
+
+# A change that comes this soon after another waits for the next watch; the
+# bounds for draining targets and configurations start at 3,000 ms.
+COLLECT_MS = 700
+# A watch waits this long for a change.  A change hidden by a connection
+# that fell silent is found after at most this time and the margin, within
+# the 4,000 ms in which an instance is not yet held to its bounds.
+WATCH_MS = 2_800
+# How much later than its wait the answer of a watch may come.
+WATCH_MARGIN_MS = 700
+# A list of one page takes 4 ms when the store is well, and 80 times as
+# long when it is slow.
+LIST_TIMEOUT_MS = 1_000
+# Waits after failed calls; each call costs, also a refused one.
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 1_000
+
+
+@frozen
+class Started:
+    """Begin to follow."""
+
+
+@frozen
+class Listed:
+    """The store listed all objects as of ``revision``."""
+
+    revision: int
+
+
+@frozen
+class Changed:
+    """A watch was answered; ``count`` objects changed up to ``revision``."""
+
+    revision: int
+    count: int
+
+
+@frozen
+class HistoryGone:
+    """The store no longer tells what changed since the revision."""
+
+
+@frozen
+class CallFailed:
+    """A call got no usable answer; ``cause`` says how it failed."""
+
+    cause: str
+
+
+@frozen
+class List:
+    """List all objects after a pause; a lagging answer is good enough."""
+
+    after_ms: float
+    may_lag: bool
+
+
+@frozen
+class Watch:
+    """Ask after a pause for what changed since ``revision``."""
+
+    after_ms: float
+    revision: int
+
+
+@frozen
+class DependencyLost:
+    """The store cannot be read any more."""
+
+    cause: str
+
+
+@frozen
+class DependencyRegained:
+    """The store can be read again, after some calls failed."""
+
+    failures: int
+
+
+@define
+class FollowState:
+    """``revision`` is None before the first list."""
+
+    revision: int | None = None
+    failures: int = 0
+    must_list: bool = True
+    jitter: float = 0.5
+
+
+def decide(state: FollowState, event) -> list:
+    """Return what to report, and the next call to the store, last."""
+    match event:
+        case Started():
+            return [List(0, may_lag=True)]
+        case Listed():
+            actions = _answered(state)
+            state.must_list = False
+            state.revision = event.revision
+            return [*actions, Watch(0, event.revision)]
+        case Changed():
+            actions = _answered(state)
+            state.revision = max(state.revision, event.revision)
+            pause_ms = COLLECT_MS if event.count else 0
+            return [*actions, Watch(pause_ms, state.revision)]
+        case HistoryGone():
+            state.must_list = True
+            return [*_answered(state), List(0, may_lag=False)]
+        case CallFailed():
+            return _failed(state, event.cause)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _answered(state):
+    if not state.failures:
+        return []
+    failures, state.failures = state.failures, 0
+    return [DependencyRegained(failures)]
+
+
+def _failed(state, cause):
+    state.failures += 1
+    doubled_ms = FIRST_RETRY_MS * 2 ** min(state.failures - 1, 10)
+    pause_ms = min(doubled_ms, LONGEST_RETRY_MS) * (0.5 + state.jitter)
+    lost = [DependencyLost(cause)] if state.failures == 1 else []
+    if state.must_list:
+        return [*lost, List(pause_ms, may_lag=state.revision is None)]
+    return [*lost, Watch(pause_ms, state.revision)]
--- /dev/null
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -0,0 +1,664 @@
+"""Where each segment of a flow goes.
+
+The balancer sees only what clients send; targets answer them directly.  A
+flow opens at one target, and every later segment must reach that target,
+whichever balancer gets it.  So the tag on a segment names its target, and
+the flow table below is no more than a cache: it spreads load, pins a flow
+whose opening went to two targets, and gives evidence on targets.
+"""
+
+from collections import deque
+from enum import Enum
+
+from attrs import define
+from attrs import Factory
+from attrs import frozen
+
+from liftmount._internal.decisions.flow_tags import TagTable
+from liftmount._internal.decisions.pool import Pool
+from liftmount._internal.decisions.pool import TargetInfo
+from liftmount._internal.decisions.target_health import TargetHealth
+from liftmount._internal.decisions.target_health import TargetSeen
+from liftmount._internal.decisions.target_health import TargetSilent
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import Segment
+from liftmount._internal.models.segments import TargetEntry
+from liftmount._internal.models.ticks import Tick
+
+# Part of its weight that a target of another failure domain loses: a flow
+# stays in its own domain until the targets there carry twice as much.
+REMOTE_PENALTY = 0.5
+# An opening that nothing followed for this long is sent to another target
+# too.  The way to a target and back over the client takes 3 to 12 ms on
+# the links in use; a balancer with a quarter of a core adds some tens.
+FIRST_ANSWER_MS = 70
+# A target that left an opening unanswered gets no new flows meanwhile.
+AVOID_MS = 1_000
+# Targets tried for one opening: each costs as much as an answer's place.
+MAX_TRIED = 4
+# Segments kept that arrived before their target or route was known, and
+# for how long: a client sends again after 200 ms.
+MAX_HELD = 512
+HELD_MS = 400
+# A flow whose client closed or reset it is kept for its last segments.
+CLOSED_MS = 2_000
+SWEEP_MS = 1_000
+# Ticks come every 20 ms; a longer gap means that this balancer stood still
+# or was held up, and that the silence it missed says nothing.
+GAP_MS = 120
+# Sequence numbers are modulo 2**32; a difference above half is negative.
+SEQUENCE_MASK = 2**32 - 1
+HALF_SEQUENCE = 2**31
+
+
+class RefusalReason(Enum):
+    """Why a segment was answered by a reset, or dropped."""
+
+    NO_ROUTE = 'no_route'
+    NO_TARGET = 'no_target'
+    ROUTE_DROPPED = 'route_dropped'
+    TARGET_DEAD = 'target_dead'
+    TARGET_GONE = 'target_gone'
+    UNKNOWN_TAG = 'unknown_tag'
+    HELD_TOO_LONG = 'held_too_long'
+
+
+class Phase(Enum):
+    """Where a flow stands, as far as this balancer can tell."""
+
+    OPENING = 'opening'
+    OPEN = 'open'
+    CLOSED = 'closed'
+
+
+@frozen
+class SegmentArrived:
+    """A client's segment arrived."""
+
+    segment: Segment
+    now_ms: int
+
+
+@frozen
+class TargetPut:
+    """A target is there; ``is_doubted`` if its entry vanished."""
+
+    entry: TargetEntry
+    now_ms: int
+    is_doubted: bool = False
+
+
+@frozen
+class TargetRemoved:
+    """A target has ended; its flows may be under way still."""
+
+    name: str
+    now_ms: int
+
+
+@frozen
+class TargetDied:
+    """A target answers no more, or does again."""
+
+    name: str
+    is_dead: bool
+    now_ms: int
+
+
+@frozen
+class RoutesChanged:
+    """A newer configuration is in force."""
+
+    table: RouteTable
+    now_ms: int
+
+
+@define
+class Forward:
+    """Send a segment on to a target, with a tag that names it."""
+
+    segment: Segment
+    target: TargetEntry
+    tag: int
+
+
+@frozen
+class Placed:
+    """A new flow was placed; ``tries`` counts the targets so far."""
+
+    segment: Segment
+    route: Route
+    target: TargetEntry
+    tries: int
+    load: float
+
+
+@frozen
+class Refuse:
+    """Answer the client with a reset: ``sequence`` is its number."""
+
+    flow: bytes
+    client: Endpoint
+    address: Endpoint
+    sequence: int
+    reason: RefusalReason
+    target: str = ''
+
+
+@frozen
+class Drop:
+    """A segment was dropped without an answer."""
+
+    segment: Segment
+    reason: RefusalReason
+
+
+@frozen
+class TargetsNeeded:
+    """A segment names a target that is not known here."""
+
+    segment: Segment
+
+
+@frozen
+class Answered:
+    """A flow opened after ``latency_ms`` at a target."""
+
+    target: str
+    route: Route
+    latency_ms: int
+    tries: int
+
+
+@define
+class Flow:
+    """A flow as this balancer has seen it.
+
+    ``tried`` names the targets that its opening went to.  ``sent`` is the
+    sequence number after the last new byte.  ``resent_from`` is the
+    acknowledgement at which data was sent again, None after progress.
+    """
+
+    key: bytes
+    route: Route
+    client: Endpoint
+    address: Endpoint
+    phase: Phase
+    opened_ms: int
+    seen_ms: int
+    target: str = ''
+    tag: int = 0
+    tried: tuple[str, ...] = ()
+    opening: Segment | None = None
+    tried_ms: int = 0
+    sent: int = 0
+    acknowledged: int = 0
+    resends: int = 0
+
+
+@define
+class ForwardingState:
+    """Routes, targets, pools by service, flows, and evidence.
+
+    ``former`` holds when a target that is gone may be forgotten.
+    """
+
+    failure_domain: str
+    flow_max_age_ms: int
+    table: RouteTable | None = None
+    has_targets: bool = False
+    tags: TagTable = Factory(TagTable)
+    pools: dict[str, Pool] = Factory(dict)
+    former: dict[str, int] = Factory(dict)
+    health: TargetHealth = Factory(TargetHealth)
+    flows: dict[bytes, Flow] = Factory(dict)
+    opening: deque = Factory(deque)
+    held: deque = Factory(deque)
+    next_sweep_ms: int = 0
+    ticked_ms: int = 0
+    turn: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether routes and targets are known."""
+        return self.table is not None and self.has_targets
+
+    def pool(self, service: str) -> Pool:
+        """Return the pool of a service."""
+        found = self.pools.get(service)
+        if found is None:
+            found = Pool(
+                service,
+                failure_domain=self.failure_domain,
+                remote_penalty=REMOTE_PENALTY,
+            )
+            self.pools[service] = found
+        return found
+
+
+def decide(state: ForwardingState, event) -> list:
+    """Return the actions for an event.
+
+    Evidence on targets comes back as TargetSilent and TargetSeen, for the
+    module that judges it.
+    """
+    match event:
+        case SegmentArrived():
+            return _segment(state, event.segment, event.now_ms)
+        case Tick():
+            return _tick(state, event.now_ms)
+        case TargetPut():
+            return _put(state, event)
+        case TargetRemoved():
+            return _remove(state, event)
+        case TargetDied():
+            return _died(state, event)
+        case RoutesChanged():
+            return _routes(state, event)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _segment(state, segment, now_ms):
+    if state.table is None:
+        return _hold(state, segment, now_ms)
+    route = state.table.routes.get(segment.address)
+    flow = state.flows.get(segment.flow)
+    if route is None:
+        return _without_route(state, segment, flow)
+    if segment.opens:
+        return _open(state, segment, route, flow, now_ms)
+    if flow is None:
+        return _unseen(state, segment, route, now_ms)
+    return _follow(state, segment, flow, now_ms)
+
+
+def _without_route(state, segment, flow):
+    if flow is not None:
+        _end(state, flow)
+    if segment.resets:
+        return []
+    reason = RefusalReason.NO_ROUTE
+    if not segment.opens:
+        reason = RefusalReason.ROUTE_DROPPED
+    return [_refuse(segment, reason)]
+
+
+def _refuse(segment, reason, target=''):
+    return Refuse(
+        flow=segment.flow,
+        client=segment.client,
+        address=segment.address,
+        sequence=segment.acknowledgement,
+        reason=reason,
+        target=target,
+    )
+
+
+# Openings.
+
+
+def _open(state, segment, route, flow, now_ms):
+    if flow is not None and flow.phase is Phase.OPEN:
+        entry = state.tags.entries.get(flow.target)
+        # A late copy: only the target that holds the flow may answer it.
+        return [Forward(segment, entry, flow.tag)] if entry else []
+    if flow is None or flow.phase is Phase.CLOSED:
+        flow = Flow(
+            key=segment.flow,
+            route=route,
+            client=segment.client,
+            address=segment.address,
+            phase=Phase.OPENING,
+            opened_ms=now_ms,
+            seen_ms=now_ms,
+            opening=segment,
+        )
+        state.flows[segment.flow] = flow
+    flow.seen_ms = now_ms
+    return _place(state, segment, flow, now_ms)
+
+
+def _place(state, segment, flow, now_ms):
+    """Send an opening to a target that it has not been sent to yet."""
+    service = flow.route.shares[0].service
+    if len(flow.route.shares) > 1:
+        service = _choose_share(state, flow.route)
+    pool = state.pool(service)
+    chosen = pool.choose_for_stream(now_ms, avoid=flow.tried)
+    if chosen is None:
+        return _nowhere(state, segment, flow, now_ms)
+    entry = state.tags.entries[chosen.name]
+    load = chosen.open_streams / chosen.weight
+    _move(state, flow, chosen.name)
+    flow.tag = state.tags.tag_for(chosen.name)
+    flow.tried = (*flow.tried, chosen.name)
+    flow.tried_ms = now_ms
+    state.opening.append(flow)
+    return [
+        Placed(segment, flow.route, entry, len(flow.tried), load),
+        Forward(segment, entry, flow.tag),
+    ]
+
+
+def _choose_share(state, route):
+    """Return a service of a route, by weight, in fixed turns."""
+    total = sum(share.weight for share in route.shares)
+    state.turn += 1
+    # The golden ratio spreads turns evenly for any weights.
+    point = (state.turn * 0.6180339887498949) % 1.0 * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
+
+
+def _nowhere(state, segment, flow, now_ms):
+    if not state.has_targets:
+        return _hold(state, segment, now_ms)
+    if flow.tried:
+        entry = state.tags.entries.get(flow.target)
+        if entry is not None and not state.health.is_dead(flow.target):
+            flow.tried_ms = now_ms
+            return [Forward(segment, entry, flow.tag)]
+    _end(state, flow)
+    return [_refuse(segment, RefusalReason.NO_TARGET)]
+
+
+def _move(state, flow, target):
+    _count(state, flow.target, -1)
+    flow.target = target
+    _count(state, target, 1)
+
+
+def _count(state, target, step):
+    entry = state.tags.entries.get(target)
+    if entry is None:
+        return
+    load = state.pool(entry.service).targets.get(target)
+    if load is not None:
+        load.open_streams = max(0, load.open_streams + step)
+
+
+# Segments of flows that are open, or seem so.
+
+
+def _unseen(state, segment, route, now_ms):
+    """Take over a flow that another balancer saw so far."""
+    entry = _named_by(state, segment, route)
+    if entry is None:
+        return _unknown(state, segment, now_ms)
+    flow = Flow(
+        key=segment.flow,
+        route=route,
+        client=segment.client,
+        address=segment.address,
+        phase=Phase.OPEN,
+        opened_ms=now_ms,
+        seen_ms=now_ms,
+        tag=segment.tag,
+        sent=segment.sequence,
+        acknowledged=segment.acknowledgement,
+    )
+    state.flows[segment.flow] = flow
+    _move(state, flow, entry.name)
+    return _follow(state, segment, flow, now_ms)
+
+
+def _named_by(state, segment, route):
+    services = [share.service for share in route.shares]
+    return state.tags.find(segment.tag, services)
+
+
+def _unknown(state, segment, now_ms):
+    if segment.resets or not segment.tag:
+        return [Drop(segment, RefusalReason.UNKNOWN_TAG)]
+    actions = _hold(state, segment, now_ms)
+    return [*actions, TargetsNeeded(segment)]
+
+
+def _follow(state, segment, flow, now_ms):
+    actions = []
+    if flow.phase is Phase.OPENING and segment.tag:
+        actions += _opened(state, segment, flow, now_ms)
+    entry = state.tags.entries.get(flow.target)
+    if entry is None:
+        _end(state, flow)
+        return [*actions, _refuse(segment, RefusalReason.TARGET_GONE)]
+    actions += _note_progress(state, segment, flow, now_ms)
+    flow.seen_ms = now_ms
+    if segment.resets or segment.closes:
+        _close(state, flow)
+    elif state.health.is_dead(flow.target):
+        _end(state, flow)
+        reason = RefusalReason.TARGET_DEAD
+        return [*actions, _refuse(segment, reason, flow.target)]
+    elif flow.resends and flow.target in state.former:
+        _end(state, flow)
+        reason = RefusalReason.TARGET_GONE
+        return [*actions, _refuse(segment, reason, flow.target)]
+    actions.append(Forward(segment, entry, flow.tag))
+    return actions
+
+
+def _opened(state, segment, flow, now_ms):
+    """Pin a flow to the target that its client chose."""
+    flow.phase = Phase.OPEN
+    flow.opening = None
+    flow.sent = segment.sequence
+    flow.acknowledged = segment.acknowledgement
+    named = _named_by(state, segment, flow.route)
+    if named is not None and named.name != flow.target:
+        _move(state, flow, named.name)
+    if named is not None:
+        flow.tag = segment.tag
+    return [
+        Answered(
+            flow.target,
+            flow.route,
+            now_ms - flow.opened_ms,
+            len(flow.tried),
+        ),
+        TargetSeen(flow.target, now_ms),
+    ]
+
+
+def _note_progress(state, segment, flow, now_ms):
+    """Gather evidence on the target from one segment."""
+    if segment.acknowledgement != flow.acknowledged:
+        flow.acknowledged = segment.acknowledgement
+        flow.resends = 0
+        return [TargetSeen(flow.target, now_ms)]
+    if not segment.length_bytes:
+        return []
+    end = (segment.sequence + segment.length_bytes) & SEQUENCE_MASK
+    ahead = (end - flow.sent) & SEQUENCE_MASK
+    if 0 < ahead < HALF_SEQUENCE:
+        flow.sent = end
+        return []
+    flow.resends += 1
+    return [TargetSilent(flow.target, now_ms)]
+
+
+def _close(state, flow):
+    if flow.phase is not Phase.CLOSED:
+        flow.phase = Phase.CLOSED
+        _count(state, flow.target, -1)
+
+
+def _end(state, flow):
+    if flow.phase is not Phase.CLOSED:
+        _count(state, flow.target, -1)
+    state.flows.pop(flow.key, None)
+
+
+# Segments that wait for knowledge.
+
+
+@frozen
+class _Held:
+    segment: Segment
+    until_ms: int
+
+
+def _hold(state, segment, now_ms):
+    actions = []
+    if len(state.held) >= MAX_HELD:
+        oldest = state.held.popleft()
+        actions.append(Drop(oldest.segment, RefusalReason.HELD_TOO_LONG))
+    state.held.append(_Held(segment, now_ms + HELD_MS))
+    return actions
+
+
+def _release(state, now_ms):
+    """Decide anew on what waited; what is unknown still waits on."""
+    waiting = list(state.held)
+    state.held.clear()
+    actions = []
+    for held in waiting:
+        before = len(state.held)
+        actions += _segment(state, held.segment, now_ms)
+        if len(state.held) > before:
+            state.held[-1] = held
+    return [one for one in actions if not isinstance(one, TargetsNeeded)]
+
+
+# What changes in routes and targets.
+
+
+def _routes(state, event):
+    if state.table is not None and event.table.version <= state.table.version:
+        return []
+    state.table = event.table
+    actions = []
+    for flow in list(state.flows.values()):
+        route = event.table.routes.get(flow.address)
+        if route is None:
+            _end(state, flow)
+            actions.append(_cut(flow, RefusalReason.ROUTE_DROPPED))
+        else:
+            flow.route = route
+    return actions + _release(state, event.now_ms)
+
+
+def _cut(flow, reason):
+    return Refuse(
+        flow=flow.key,
+        client=flow.client,
+        address=flow.address,
+        sequence=flow.acknowledged,
+        reason=reason,
+        target=flow.target,
+    )
+
+
+def _put(state, event):
+    entry = event.entry
+    is_new = entry.name not in state.tags.entries
+    state.tags.add(entry)
+    state.former.pop(entry.name, None)
+    state.pool(entry.service).put(_info(state, event), event.now_ms)
+    if is_new and state.held:
+        return _release(state, event.now_ms)
+    return []
+
+
+def _info(state, event):
+    entry = event.entry
+    is_dead = state.health.is_dead(entry.name)
+    return TargetInfo(
+        name=entry.name,
+        failure_domain=entry.failure_domain,
+        leaving=entry.draining,
+        slots=entry.slots,
+        warm_up_ms=entry.warm_up_ms,
+        last_choice=event.is_doubted or is_dead,
+    )
+
+
+def _remove(state, event):
+    entry = state.tags.entries.get(event.name)
+    if entry is None:
+        return []
+    state.pool(entry.service).remove(event.name)
+    state.former[event.name] = event.now_ms + state.flow_max_age_ms
+    return []
+
+
+def _died(state, event):
+    entry = state.tags.entries.get(event.name)
+    if entry is None:
+        return []
+    load = state.pool(entry.service).targets.get(event.name)
+    if load is not None:
+        load.last_choice = event.is_dead
+        state.pool(entry.service).avoid(event.name, 0)
+    if not event.is_dead:
+        return []
+    actions = []
+    for flow in list(state.flows.values()):
+        if flow.target != event.name or flow.phase is not Phase.OPEN:
+            continue
+        _end(state, flow)
+        actions.append(_cut(flow, RefusalReason.TARGET_DEAD))
+    return actions
+
+
+# Time.
+
+
+def _tick(state, now_ms):
+    actions = []
+    gap_ms = now_ms - state.ticked_ms
+    state.ticked_ms = now_ms
+    if gap_ms > GAP_MS:
+        for flow in state.opening:
+            flow.tried_ms = max(flow.tried_ms, now_ms)
+    while state.opening:
+        flow = state.opening[0]
+        if now_ms - flow.tried_ms < FIRST_ANSWER_MS:
+            break
+        state.opening.popleft()
+        actions += _unanswered(state, flow, now_ms)
+    while state.held and now_ms >= state.held[0].until_ms:
+        held = state.held.popleft()
+        actions.append(Drop(held.segment, RefusalReason.HELD_TOO_LONG))
+    if now_ms >= state.next_sweep_ms:
+        state.next_sweep_ms = now_ms + SWEEP_MS
+        _sweep(state, now_ms)
+    return actions
+
+
+def _unanswered(state, flow, now_ms):
+    """An opening got no answer in time: try another target."""
+    is_waiting = flow.phase is Phase.OPENING
+    if not is_waiting or state.flows.get(flow.key) is not flow:
+        return []
+    actions = []
+    for name in flow.tried:
+        entry = state.tags.entries.get(name)
+        if entry is not None:
+            pool = state.pool(entry.service)
+            pool.avoid(name, now_ms + AVOID_MS)
+        actions.append(TargetSilent(name, now_ms))
+    if len(flow.tried) < MAX_TRIED:
+        actions += _place(state, flow.opening, flow, now_ms)
+    return actions
+
+
+def _sweep(state, now_ms):
+    """Forget flows that ended, rested too long or are too old."""
+    idle_ms = state.table.idle_limit_ms if state.table else HELD_MS
+    for flow in list(state.flows.values()):
+        limit_ms = idle_ms
+        if flow.phase is not Phase.OPEN:
+            limit_ms = CLOSED_MS
+        if now_ms - flow.seen_ms > limit_ms:
+            _end(state, flow)
+    for name, until_ms in list(state.former.items()):
+        if now_ms >= until_ms:
+            del state.former[name]
+            state.health.forget(name)
+            state.tags.remove(name)
--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -22,11 +22,11 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.models.envelopes import encode_membership
-from liftmount._internal.models.events import Tick
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import member_record
 from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.members import parse_member
+from liftmount._internal.models.ticks import Tick
 
 PING = 1
 ACK = 2
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -31,6 +31,9 @@
 IN_PROGRESS_WEIGHT = 0.05
 # A target of the owner's own failure domain wins near ties.
 REMOTE_PENALTY = 0.002
+# Part of a full share that a target gets while it says that it warms up;
+# measured on targets whose work takes 1.6 times as long meanwhile.
+WARMING_SHARE = 0.6
 _LCG_FACTOR = 6364136223846793005
 _LCG_STEP = 1442695040888963407
 _LCG_MASK = 2**64 - 1
@@ -38,12 +41,21 @@
 
 @frozen
 class TargetInfo:
-    """What configuration and instance list say of a target."""
+    """What configuration and instance list say of a target.
+
+    ``slots`` is how many requests it says it works on at once; 0 means
+    that this has to be learnt.  ``warm_up_ms`` is how much longer it says
+    it stays slow.  A ``last_choice`` gets work only when there is no
+    other target.
+    """
 
     name: str
     failure_domain: str
     incarnation: int = 0
     leaving: bool = False
+    slots: int = 0
+    warm_up_ms: int = 0
+    last_choice: bool = False
 
 
 @frozen
@@ -68,6 +80,9 @@
     added_ms: int
     busy: BusyShare
     leaving: bool = False
+    last_choice: bool = False
+    slots: int = 0
+    warm_until_ms: int = 0
     in_progress: int = 0
     ended: int = 0
     open_streams: int = 0
@@ -79,17 +94,24 @@
 
     def ramp(self, now_ms: int) -> float:
         """Return the share of new flows due to a target that is new."""
+        if self.slots:
+            return WARMING_SHARE if now_ms < self.warm_until_ms else 1.0
         age_ms = now_ms - self.added_ms
         return min(1.0, RAMP_START + (1 - RAMP_START) * age_ms / RAMP_MS)
 
 
 @define
 class Pool:
-    """The targets of one pool; ``failure_domain`` is that of the owner."""
+    """The targets of one pool; ``failure_domain`` is that of the owner.
+
+    ``remote_penalty`` is the part of its weight that a target of another
+    failure domain loses.
+    """
 
     key: str
     failure_domain: str = ''
     targets: dict[str, TargetLoad] = Factory(dict)
+    remote_penalty: float = REMOTE_PENALTY
     seed: int = 1
     panics: int = 0
     _usable: list | None = None
@@ -98,17 +120,28 @@
 
     def update(self, infos, now_ms: int) -> None:
         """Take over the targets that configuration lists."""
-        self._forget_usable()
         wanted = {info.name: info for info in infos}
         for name in set(self.targets) - set(wanted):
-            del self.targets[name]
+            self.remove(name)
         for info in wanted.values():
-            known = self.targets.get(info.name)
-            if known is None:
-                self.targets[info.name] = self._new(info, now_ms)
-            else:
-                known.leaving = info.leaving
-                known.failure_domain = info.failure_domain
+            self.put(info, now_ms)
+
+    def put(self, info: TargetInfo, now_ms: int) -> None:
+        """Add a target, or take over what is said of it anew."""
+        self._forget_usable()
+        known = self.targets.get(info.name)
+        if known is None:
+            known = self._new(info, now_ms)
+            self.targets[info.name] = known
+        known.leaving = info.leaving
+        known.last_choice = info.last_choice
+        known.failure_domain = info.failure_domain
+        known.warm_until_ms = now_ms + info.warm_up_ms
+
+    def remove(self, name: str) -> None:
+        """Forget a target."""
+        self._forget_usable()
+        self.targets.pop(name, None)
 
     def _new(self, info, now_ms):
         # A newcomer counts as busy as the others, or it would be flooded.
@@ -116,6 +149,7 @@
         share = BusyShare(FADE_MS, busy, now_ms)
         # The first targets of a pool have nobody to be compared with.
         added_ms = now_ms if self.targets else now_ms - RAMP_MS
+        limit = info.slots or INITIAL_LIMIT
         return TargetLoad(
             name=info.name,
             failure_domain=info.failure_domain,
@@ -123,6 +157,8 @@
             added_ms=added_ms,
             busy=share,
             leaving=info.leaving,
+            slots=info.slots,
+            capacity=Capacity(limit=limit),
         )
 
     def seen(self, name: str, incarnation: int, now_ms: int) -> None:
@@ -166,6 +202,8 @@
 
     def _find_usable(self, now_ms):
         present = [one for one in self.targets.values() if not one.leaving]
+        preferred = [one for one in present if not one.last_choice]
+        present = preferred or present
         healthy = []
         self._usable_until_ms = now_ms + LONGEST_EJECTION_MS
         for one in present:
@@ -179,6 +217,13 @@
             return present
         return healthy
 
+    def avoid(self, name: str, until_ms: int) -> None:
+        """Give a target no new work for a while, if others can take it."""
+        target = self.targets.get(name)
+        if target is not None:
+            target.ejected_until_ms = max(target.ejected_until_ms, until_ms)
+            self._forget_usable()
+
     def _forget_usable(self):
         self._usable = None
         self._weights_until_ms = 0
@@ -227,7 +272,7 @@
         for one in targets:
             weight = stream_weight(one, reference_ms) * one.ramp(now_ms)
             if one.failure_domain != self.failure_domain:
-                weight *= 1.0 - REMOTE_PENALTY
+                weight *= 1.0 - self.remote_penalty
             one.weight = weight
 
     def _score(self, one, prior, now_ms):
@@ -235,7 +280,7 @@
         busy = one.busy.update(one.in_progress, now_ms) / limit
         score = busy + IN_PROGRESS_WEIGHT * one.in_progress / limit
         if one.failure_domain != self.failure_domain:
-            score += REMOTE_PENALTY
+            score += self.remote_penalty
         return score
 
     def _sample(self, usable):
--- a/src/liftmount/_internal/exceptions.py
+++ b/src/liftmount/_internal/exceptions.py
@@ -56,3 +56,25 @@
 
 class ServiceNotFoundError(LiftmountError):
     """No service of that name is registered in the kernel."""
+
+
+class HttpError(LiftmountError):
+    """A call over HTTP got no answer; it may have been carried out."""
+
+
+class HistoryGoneError(PlatformError):
+    """The store forgot the changes since a revision; list again."""
+
+
+class StoredObjectError(PlatformError):
+    """An object in the store does not hold what it should.
+
+    ``name`` is the object, ``field`` the path of the bad value.
+    """
+
+    def __init__(self, name, field, value, message):
+        super().__init__(f'{name}: {field} = {value!r}: {message}')
+        self.name = name
+        self.field = field
+        self.value = value
+        self.message = message
--- a/src/liftmount/_internal/kernel.py
+++ b/src/liftmount/_internal/kernel.py
@@ -12,8 +12,6 @@
 
 from attrs import define
 from attrs import Factory
-from reactivex.subject import ReplaySubject
-from reactivex.subject import Subject
 
 from liftmount._internal.clock import Clock
 from liftmount._internal.exceptions import ServiceNotFoundError
@@ -67,7 +65,7 @@
 
     clock: Clock
     services: dict[str, Service] = Factory(dict)
-    streams: dict[str, Subject] = Factory(dict)
+    streams: dict = Factory(dict)
 
     def register(self, service: Service) -> None:
         """Make a service known under its name."""
@@ -84,8 +82,11 @@
         """Send a message to the service of a name."""
         self.lookup(name).post(message)
 
-    def stream(self, name: str) -> Subject:
-        """Return the stream of a name; it repeats its last item."""
+    def stream(self, name: str):
+        """Return the reactivex subject of a name; it repeats its last item."""
+        # A balancer on the platform serves before it imports the library.
+        from reactivex.subject import ReplaySubject
+
         if name not in self.streams:
             self.streams[name] = ReplaySubject(1)
         return self.streams[name]
--- a/src/liftmount/_internal/models/events.py
+++ b/src/liftmount/_internal/models/events.py
@@ -55,13 +55,6 @@
     now_ms: int
 
 
-@frozen
-class Tick:
-    """Time has passed."""
-
-    now_ms: int
-
-
 @frozen
 class FlowAsked:
     """A caller asks for a flow, or for another in place of one it has.
--- /dev/null
+++ b/src/liftmount/_internal/services/packets.py
@@ -0,0 +1,299 @@
+"""The path of packets: one socket, the flows, and what is believed."""
+
+import asyncio
+import socket
+
+from liftmount._internal.clock import seconds
+from liftmount._internal.decisions import directory
+from liftmount._internal.decisions import following
+from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions import target_health
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.kernel import Service
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.ticks import Tick
+from liftmount._internal.services.probes import probe
+
+TICK_MS = 20
+RECEIVE_BYTES = 2_048
+# Datagrams read at one wake-up before others get a turn.
+BATCH = 64
+BUFFER_BYTES = 4 * 1_048_576
+
+
+class PacketService(Service):
+    """Owns the socket for packets and all that is believed.
+
+    ``codec`` has ``read(datagram)``, ``forwarded(action)`` and
+    ``reset(action)``; ``client_port`` is where clients get resets.
+    """
+
+    name = 'packets'
+
+    def __init__(self, kernel, codec, options, log, counters):
+        super().__init__(kernel)
+        self._codec = codec
+        self._options = options
+        self._log = log
+        self._counters = counters
+        self._socket = None
+        self._probes = set()
+        self.leaving = False
+        self.directory = directory.DirectoryState()
+        self.state = forwarding.ForwardingState(
+            options.failure_domain, options.flow_max_age_ms
+        )
+
+    def why_not_ready(self) -> str:
+        """Return why no packets should come here; empty when they may."""
+        if self.leaving:
+            return 'stopping'
+        if self.state.table is None:
+            return 'no configuration yet'
+        if not self.state.has_targets:
+            return 'no targets yet'
+        return ''
+
+    async def start(self):
+        """Bind the socket; packets wait in it until routes are known."""
+        address: Endpoint = self._options.packets
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
+        self._socket.bind(address.socket_address())
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket.fileno(), self._on_readable)
+
+    async def stop(self):
+        """Close the socket."""
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket.fileno())
+            self._socket.close()
+
+    async def run(self):
+        """Handle messages and let time pass."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run())
+            group.create_task(self._tick_forever())
+
+    async def _tick_forever(self):
+        while True:
+            await asyncio.sleep(seconds(TICK_MS))
+            tick = Tick(self.clock.now_ms())
+            self._believe(directory.decide(self.directory, tick))
+            self._execute(forwarding.decide(self.state, tick))
+            health = self.state.health
+            self._execute(target_health.decide(health, tick))
+
+    def _on_readable(self):
+        now_ms = self.clock.now_ms()
+        for _ in range(BATCH):
+            try:
+                datagram = self._socket.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # What an earlier datagram met; the next read goes on.
+                self._counters.count(f'socket_error.{error.errno}')
+                continue
+            try:
+                segment = self._codec.read(datagram)
+            except PacketError:
+                self._counters.count('refused.malformed_packet')
+                continue
+            event = forwarding.SegmentArrived(segment, now_ms)
+            self._execute(forwarding.decide(self.state, event))
+
+    # What the store tells.
+
+    def handle(self, message):
+        """Take over what a feed tells."""
+        now_ms = self.clock.now_ms()
+        match message:
+            case Listing() | Delta():
+                self._take(message, now_ms)
+            case following.CallFailed():
+                lost = directory.StoreLost(now_ms)
+                directory.decide(self.directory, lost)
+            case _:
+                super().handle(message)
+
+    def _take(self, message, now_ms):
+        items = message.items if isinstance(message, Listing) else None
+        items = message.written if items is None else items
+        tables = [one for one in items if isinstance(one, RouteTable)]
+        if tables:
+            self._take_routes(tables[-1], now_ms)
+        elif isinstance(message, Listing):
+            event = directory.TargetsListed(
+                message.items, message.revision, now_ms
+            )
+            self._believe(directory.decide(self.directory, event))
+            self.state.has_targets |= bool(message.items)
+        else:
+            event = directory.TargetsChanged(
+                message.written, message.removed, message.revision, now_ms
+            )
+            self._believe(directory.decide(self.directory, event))
+            self.state.has_targets |= bool(message.written)
+
+    def _take_routes(self, table, now_ms):
+        before = self.state.table
+        event = forwarding.RoutesChanged(table, now_ms)
+        self._execute(forwarding.decide(self.state, event))
+        self._log.write(
+            'routes',
+            'configuration',
+            version=table.version,
+            in_force=self.state.table.version,
+            before=before.version if before else None,
+            routes=len(table.routes),
+        )
+
+    def _believe(self, actions):
+        now_ms = self.clock.now_ms()
+        for action in actions:
+            match action:
+                case directory.EntryBelieved(entry):
+                    event = forwarding.TargetPut(entry, now_ms)
+                    self._log_target('believed', entry)
+                case directory.EntryDoubted(entry):
+                    event = forwarding.TargetPut(entry, now_ms, True)
+                    self._log_target('doubted', entry)
+                case directory.EntryGone(entry):
+                    event = forwarding.TargetRemoved(entry.name, now_ms)
+                    self._log_target('gone', entry)
+            self._execute(forwarding.decide(self.state, event))
+
+    def _log_target(self, event, entry):
+        self._log.write(
+            'targets',
+            event,
+            target=entry.name,
+            service=entry.service,
+            endpoint=str(entry.endpoint),
+            draining=entry.draining,
+            warm_up_ms=entry.warm_up_ms,
+            revision=self.directory.revision,
+        )
+
+    # What is decided.
+
+    def _execute(self, actions):
+        for action in actions:
+            match action:
+                case forwarding.Forward():
+                    self._send(
+                        self._codec.forwarded(action),
+                        action.target.endpoint.socket_address(),
+                    )
+                case forwarding.Placed():
+                    self._log_placed(action)
+                case forwarding.Answered():
+                    self._counters.observe(
+                        'open_ms', action.latency_ms, action.route.name
+                    )
+                case forwarding.Refuse():
+                    self._refuse(action)
+                case forwarding.Drop():
+                    self._drop(action)
+                case forwarding.TargetsNeeded():
+                    self._counters.count('retried.unknown_tag')
+                case target_health.SendProbe():
+                    self._start_probe(action.target)
+                case target_health.TargetJudged():
+                    self._judge(action)
+                case target_health.TargetSilent():
+                    self._counters.count('silence')
+                    self._assess(action)
+                case target_health.TargetSeen():
+                    self._assess(action)
+
+    def _assess(self, event):
+        self._execute(target_health.decide(self.state.health, event))
+
+    def _send(self, datagram, destination):
+        try:
+            self._socket.sendto(datagram, destination)
+        except BlockingIOError:
+            self._counters.count('refused.link_full')
+        except OSError as error:
+            self._counters.count(f'socket_error.{error.errno}')
+
+    def _refuse(self, action):
+        self._counters.count(f'refused.{action.reason.value}')
+        self._log.write(
+            'flows',
+            'reset',
+            flow=action.flow.hex(),
+            client=str(action.client),
+            address=str(action.address),
+            reason=action.reason.value,
+            target=action.target,
+            version=self.state.table.version,
+        )
+        destination = (action.client.ip, self._options.packets.port)
+        self._send(self._codec.reset(action), destination)
+
+    def _drop(self, action):
+        segment = action.segment
+        self._counters.count(f'dropped.{action.reason.value}')
+        self._log.write(
+            'flows',
+            'dropped',
+            flow=segment.flow.hex(),
+            client=str(segment.client),
+            address=str(segment.address),
+            reason=action.reason.value,
+            tag=segment.tag,
+        )
+
+    def _log_placed(self, action):
+        self._counters.count(f'placed.{action.route.kind.value}')
+        if action.tries > 1:
+            self._counters.count('retried.opening')
+        self._log.write(
+            'flows',
+            'placed',
+            flow=action.segment.flow.hex(),
+            client=str(action.segment.client),
+            route=action.route.name,
+            target=action.target.name,
+            tries=action.tries,
+            load=round(action.load, 2),
+            version=self.state.table.version,
+            revision=self.directory.revision,
+        )
+
+    # Probes.
+
+    def _start_probe(self, target):
+        self._counters.count('probes')
+        task = asyncio.create_task(self._probe(target))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _probe(self, target):
+        entry = self.state.tags.entries.get(target)
+        if entry is None:
+            self.state.health.forget(target)
+            return
+        path = self.state.table.health_paths.get(entry.service, '/')
+        result = await probe(self.clock, entry, path)
+        event = target_health.ProbeEnded(target, result, self.clock.now_ms())
+        self._log.write('probes', 'ended', target=target, result=result.value)
+        self._assess(event)
+
+    def _judge(self, action):
+        event = 'dead' if action.is_dead else 'alive'
+        self._log.write(
+            'targets', event, target=action.target, probes=action.probes
+        )
+        died = forwarding.TargetDied(
+            action.target, action.is_dead, self.clock.now_ms()
+        )
+        self._execute(forwarding.decide(self.state, died))
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -11,7 +11,6 @@
 from liftmount._internal.models.envelopes import decode_peer
 from liftmount._internal.models.envelopes import encode_peer
 from liftmount._internal.models.envelopes import PeerEnvelope
-from liftmount._internal.models.events import Tick
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.messages import ConfigurationChanged
@@ -23,6 +22,7 @@
 from liftmount._internal.models.messages import PlatformReached
 from liftmount._internal.models.messages import PullFrom
 from liftmount._internal.models.reasons import Reason
+from liftmount._internal.models.ticks import Tick
 from liftmount._internal.network.udp import UdpSocket
 
 LOG = logging.getLogger('liftmount.peers')
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -21,7 +21,6 @@
 from liftmount._internal.exceptions import PlatformError
 from liftmount._internal.exceptions import PlatformUnavailableError
 from liftmount._internal.kernel import Service
-from liftmount._internal.models.events import Tick
 from liftmount._internal.models.messages import AppliedChanged
 from liftmount._internal.models.messages import ConfigurationChanged
 from liftmount._internal.models.messages import Inspect
@@ -37,6 +36,7 @@
 from liftmount._internal.models.objects import SPREAD_KINDS
 from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.reasons import Reason
+from liftmount._internal.models.ticks import Tick
 from liftmount._internal.platform.client import PlatformClient
 from liftmount._internal.platform.client import write_and_resolve
 from liftmount._internal.platform.statuses import read_statuses
--- /dev/null
+++ b/src/liftmount/_internal/services/probes.py
@@ -0,0 +1,47 @@
+"""Probes targets over the links that packets take."""
+
+import asyncio
+
+from liftmount._internal.clock import seconds
+from liftmount._internal.decisions.target_health import ProbeResult
+from liftmount._internal.exceptions import HttpError
+from liftmount._internal.network.http import HttpConnection
+
+# A target answers in some 10 ms; a slow one accepts the connection anyway.
+PROBE_MS = 150
+STEP_MS = 25
+# A step that takes this much longer means that this balancer was held up.
+HELD_UP_MS = 75
+INSTANCE_HEADER = 'instance-id'
+
+
+async def probe(clock, target, path: str) -> ProbeResult:
+    """Connect to the health check of a target and judge the answer."""
+    connection = HttpConnection(target.endpoint)
+    task = asyncio.create_task(_ask(connection, target, path))
+    try:
+        for _ in range(PROBE_MS // STEP_MS):
+            before_ms = clock.now_ms()
+            await asyncio.wait({task}, timeout=seconds(STEP_MS))
+            if task.done():
+                return task.result()
+            if clock.now_ms() - before_ms > STEP_MS + HELD_UP_MS:
+                return ProbeResult.VOID
+        if connection.is_open:
+            return ProbeResult.ANSWERED
+        return ProbeResult.SILENT
+    finally:
+        task.cancel()
+        connection.close()
+
+
+async def _ask(connection, target, path):
+    try:
+        answer = await connection.request('GET', path, 2 * PROBE_MS)
+    except HttpError:
+        # Refused, or broken off: nobody works there.
+        return ProbeResult.SILENT
+    name = answer.headers.get(INSTANCE_HEADER, target.name)
+    if name != target.name:
+        return ProbeResult.REPLACED
+    return ProbeResult.ANSWERED
--- /dev/null
+++ b/src/liftmount/_internal/services/readiness.py
@@ -0,0 +1,48 @@
+"""Tells the fabric whether this balancer takes packets."""
+
+from liftmount._internal.kernel import Service
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.network.http import HttpAnswer
+from liftmount._internal.network.http import HttpServer
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
+
+
+class ReadinessService(Service):
+    """Owns the server that is asked for readiness.
+
+    ``why_not()`` returns an empty text when the balancer is ready, else
+    the reason.
+    """
+
+    name = 'readiness'
+
+    def __init__(self, kernel, address: Endpoint, path: str, why_not, log):
+        super().__init__(kernel)
+        self._address = address
+        self._path = path
+        self._why_not = why_not
+        self._log = log
+        self._last = None
+        self._server = HttpServer(self._answer)
+
+    async def start(self):
+        """Bind the server."""
+        await self._server.start(self._address)
+
+    def _answer(self, path):
+        if path != self._path:
+            return HttpAnswer(HTTP_NOT_FOUND, b'', {})
+        reason = self._why_not()
+        if reason != self._last:
+            self._last = reason
+            event = 'not_ready' if reason else 'ready'
+            self._log.write(self.name, event, reason=reason)
+        status = HTTP_UNAVAILABLE if reason else HTTP_OK
+        return HttpAnswer(status, reason.encode(), {})
+
+    async def stop(self):
+        """Close the server."""
+        self._server.close()
--- /dev/null
+++ b/src/liftmount/_internal/utils/metrics.py
@@ -0,0 +1,70 @@
+"""Counters and latency histograms, as text for whoever collects them."""
+
+from bisect import bisect_left
+from collections import Counter
+
+from attrs import define
+from attrs import Factory
+
+# Upper bounds of the buckets in milliseconds: from a hop within a failure
+# domain to the longest deadline of the users' requests.
+BUCKETS_MS = (5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000)
+PREFIX = 'liftmount'
+
+
+@define
+class Histogram:
+    """Counts of observations by bucket, the last one without bound."""
+
+    counts: list[int] = Factory(lambda: [0] * (len(BUCKETS_MS) + 1))
+    total: float = 0.0
+
+    def observe(self, value: float) -> None:
+        """Add one observation."""
+        self.counts[bisect_left(BUCKETS_MS, value)] += 1
+        self.total += value
+
+
+@define
+class Metrics:
+    """Counters by name, histograms by name and label."""
+
+    totals: Counter = Factory(Counter)
+    histograms: dict[str, dict[str, Histogram]] = Factory(dict)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter; a dot separates its group from its reason."""
+        self.totals[name] += amount
+
+    def observe(self, name: str, value: float, label: str) -> None:
+        """Add an observation to a histogram."""
+        group = self.histograms.setdefault(name, {})
+        if label not in group:
+            group[label] = Histogram()
+        group[label].observe(value)
+
+    def text(self) -> str:
+        """Return all figures in the text format of Prometheus."""
+        lines = []
+        for name, value in sorted(self.totals.items()):
+            group, _dot, reason = name.partition('.')
+            label = f'{{reason="{reason}"}}' if reason else ''
+            lines.append(f'{PREFIX}_{group}_total{label} {value}')
+        for name, group in sorted(self.histograms.items()):
+            for label, histogram in sorted(group.items()):
+                lines += _histogram_lines(name, label, histogram)
+        return '\n'.join(lines) + '\n'
+
+
+def _histogram_lines(name, label, histogram):
+    metric = f'{PREFIX}_{name}'
+    lines = []
+    below = 0
+    bounds = [*map(str, BUCKETS_MS), '+Inf']
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        below += count
+        labels = f'route="{label}",le="{bound}"'
+        lines.append(f'{metric}_bucket{{{labels}}} {below}')
+    lines.append(f'{metric}_sum{{route="{label}"}} {histogram.total:g}')
+    lines.append(f'{metric}_count{{route="{label}"}} {below}')
+    return lines
--- a/src/liftmount/membership.py
+++ b/src/liftmount/membership.py
@@ -14,9 +14,9 @@
 from liftmount._internal.decisions.relay import find_parent
 from liftmount._internal.decisions.relay import relay_order
 from liftmount._internal.decisions.relay import SubtreeReports
-from liftmount._internal.models.events import Tick
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
+from liftmount._internal.models.ticks import Tick
 
 __all__ = (
     'BudgetSpent',
--- /dev/null
+++ b/src/liftmount/platform/daemon.py
@@ -0,0 +1,121 @@
+"""A balancer on the platform.
+
+What serves packets starts first and imports little, since a balancer that
+was killed serves nobody while it imports.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+from zlib import crc32
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.clock import seconds
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.kernel import Kernel
+from liftmount._internal.services.feeds import FeedService
+from liftmount._internal.services.packets import PacketService
+from liftmount._internal.services.readiness import ReadinessService
+from liftmount._internal.utils.metrics import Metrics
+from liftmount._internal.utils.structured import StructuredLog
+from liftmount.platform import heads
+from liftmount.platform.settings import EntrySettings
+from liftmount.platform.settings import load_settings
+from liftmount.platform.settings import SETTINGS_PATH
+from liftmount.platform.settings import SETTINGS_VARIABLE
+from liftmount.platform.store import routes_feed
+from liftmount.platform.store import targets_feed
+
+READY_PATH = '/ready'
+STATUS_USAGE = 2
+FLUSH_MS = 200
+# A stopping balancer forwards until the fabric has left it for sure: it
+# asks twice a second and lets two answers pass, then packets are under way.
+FORWARD_ON_MS = 4_500
+# What must be left of the time for a planned stop when the process ends.
+STOP_MARGIN_MS = 800
+
+
+def build_kernel(settings: EntrySettings, log, metrics) -> Kernel:
+    """Return a kernel with the services of a balancer."""
+    kernel = Kernel(Clock())
+
+    def report(error):
+        metrics.count('refused.invalid_object')
+        log.write('store', 'object_refused', cause=str(error))
+
+    packets = PacketService(kernel, heads, settings, log, metrics)
+    kernel.register(packets)
+    kernel.register(
+        ReadinessService(
+            kernel, settings.readiness, READY_PATH, packets.why_not_ready, log
+        )
+    )
+    jitter = crc32(settings.name.encode()) / 2**32
+    feeds = (
+        ('routes', routes_feed(settings.store, report, metrics)),
+        ('targets', targets_feed(settings.store, report, metrics)),
+    )
+    for name, feed in feeds:
+        kernel.register(
+            FeedService(kernel, name, feed, packets.name, log, jitter)
+        )
+    return kernel
+
+
+async def run(settings: EntrySettings, path: str) -> None:
+    """Serve until a planned stop is complete."""
+    metrics = Metrics()
+    log = StructuredLog(Clock())
+    kernel = build_kernel(settings, log, metrics)
+    log.write('process', 'start', instance=settings.name)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, log)
+    running = asyncio.create_task(kernel.run())
+    flushing = asyncio.create_task(_flush_forever(log))
+    stopped = asyncio.create_task(stopping.wait())
+    await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if not running.done():
+        kernel.lookup('packets').leaving = True
+        log.write('process', 'stopping')
+        left_ms = settings.stop_ms - STOP_MARGIN_MS
+        await asyncio.sleep(seconds(min(FORWARD_ON_MS, left_ms)))
+    for task in (running, flushing, stopped):
+        task.cancel()
+    results = await asyncio.gather(running, return_exceptions=True)
+    log.write('process', 'stop', cause=repr(results[0]))
+    log.flush()
+    if isinstance(results[0], Exception):
+        raise results[0]
+
+
+def _reload(path, log):
+    try:
+        load_settings(path)
+    except ConfigurationError as error:
+        log.write('process', 'reload_refused', cause=str(error))
+    else:
+        log.write('process', 'reload')
+
+
+async def _flush_forever(log):
+    while True:
+        log.flush()
+        await asyncio.sleep(seconds(FLUSH_MS))
+
+
+def main() -> int:
+    """Run a balancer; return its exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
+    try:
+        settings = load_settings(path)
+    except ConfigurationError as error:
+        for problem in error.problems:
+            print(f'liftmount: {problem}', file=sys.stderr)
+        return STATUS_USAGE
+    asyncio.run(run(settings, path))
+    return 0
--- /dev/null
+++ b/src/liftmount/platform/heads.py
@@ -0,0 +1,105 @@
+"""Heads of packets: read into segments, and written for targets.
+
+A head has 32 bytes, little-endian, addresses too.  Its sum covers all but
+``echo`` (our tag) and two bits, so a packet is passed on as it is, with
+another tag, behind eight bytes that name the target.
+"""
+
+from functools import lru_cache
+import struct
+
+from liftmount._internal.decisions.forwarding import Forward
+from liftmount._internal.decisions.forwarding import Refuse
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.segments import Segment
+
+# seq, ack, len, dst, dport, src, sport, echo, sum, flags, pad
+HEAD = struct.Struct('<IIHIHIHIIBB')
+TAG = struct.Struct('<I')
+TAG_OFFSET = 22
+TAG_END = TAG_OFFSET + TAG.size
+# Both ends, which identify a flow: dst, dport, src, sport.
+FLOW = slice(10, 22)
+NUMBER_BYTES = 8
+SYN = 2
+FIN = 16
+RST = 32
+# Ends of flows that are kept decoded; each flow has two.
+KNOWN_ENDS = 65_536
+
+
+@lru_cache(maxsize=KNOWN_ENDS)
+def _endpoint(ip_number, port):
+    octets = ip_number.to_bytes(4, 'big')
+    return Endpoint('.'.join(map(str, octets)), port)
+
+
+def _ip_number(ip):
+    return int.from_bytes(bytes(map(int, ip.split('.'))), 'big')
+
+
+def read(datagram: bytes) -> Segment:
+    """Read a client's packet; raises PacketError if it has no whole head."""
+    if len(datagram) < HEAD.size:
+        raise PacketError(f'a packet of {len(datagram)} bytes has no head')
+    (
+        sequence,
+        acknowledgement,
+        length,
+        address_ip,
+        address_port,
+        client_ip,
+        client_port,
+        tag,
+        _sum,
+        flags,
+        _pad,
+    ) = HEAD.unpack_from(datagram)
+    return Segment(
+        flow=datagram[FLOW],
+        client=_endpoint(client_ip, client_port),
+        address=_endpoint(address_ip, address_port),
+        opens=bool(flags & SYN),
+        closes=bool(flags & FIN),
+        resets=bool(flags & RST),
+        sequence=sequence,
+        acknowledgement=acknowledgement,
+        length_bytes=length,
+        tag=tag,
+        datagram=datagram,
+    )
+
+
+def forwarded(action: Forward) -> bytes:
+    """Return the datagram that a target gets.
+
+    The target's number always stands in front: an address that another
+    target took over must not accept the packet.
+    """
+    datagram = action.segment.datagram
+    return b''.join(
+        (
+            action.target.number.to_bytes(NUMBER_BYTES, 'big'),
+            datagram[:TAG_OFFSET],
+            TAG.pack(action.tag),
+            datagram[TAG_END:],
+        )
+    )
+
+
+def reset(action: Refuse) -> bytes:
+    """Return a reset from the route's address to the client."""
+    return HEAD.pack(
+        action.sequence,
+        0,
+        0,
+        _ip_number(action.client.ip),
+        action.client.port,
+        _ip_number(action.address.ip),
+        action.address.port,
+        0,
+        0,
+        RST,
+        0,
+    )
--- /dev/null
+++ b/src/liftmount/platform/objects.py
@@ -0,0 +1,159 @@
+"""Objects of the platform's store, turned into the project's types."""
+
+from liftmount._internal.exceptions import StoredObjectError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.models.segments import TargetEntry
+
+CONFIGURATION_KIND = 'config'
+CONFIGURATION_NAME = 'main'
+TARGET_KIND = 'servers'
+DRAINING = 'draining'
+ROUTE_KINDS = {
+    'idempotent': RouteKind.REPEATABLE,
+    'non_idempotent': RouteKind.AT_MOST_ONCE,
+    'download': RouteKind.DOWNLOAD,
+}
+HEX_DIGITS = 16
+LONGEST_NUMBER = 16
+HIGHEST_PORT = 65_535
+WHOLE_WEIGHT = 1
+
+
+class Fields:
+    """The fields of one stored document; errors name object and field."""
+
+    def __init__(self, name: str, document, path: str = ''):
+        self.name = name
+        self.path = path
+        if type(document) is not dict:
+            raise StoredObjectError(name, path, document, 'expected fields')
+        self._document = document
+
+    def error(self, field: str, message: str) -> StoredObjectError:
+        """Return an error about a field."""
+        value = self._document.get(field)
+        return StoredObjectError(
+            self.name, f'{self.path}{field}', value, message
+        )
+
+    def text(self, field: str) -> str:
+        """Return a text that is not empty."""
+        value = self._document.get(field)
+        if type(value) is not str or not value:
+            raise self.error(field, 'expected a text')
+        return value
+
+    def number(self, field: str, default: int | None = None) -> int:
+        """Return a whole number from 0 on; fractions are cut."""
+        value = self._document.get(field, default)
+        if type(value) not in (int, float) or not 0 <= value < 2**63:
+            raise self.error(field, 'expected a number from 0 on')
+        return int(value)
+
+    def parts(self, field: str) -> list:
+        """Return the fields of each document in a list."""
+        value = self._document.get(field, [])
+        if type(value) is not list:
+            raise self.error(field, 'expected a list')
+        return [
+            Fields(self.name, one, f'{self.path}{field}[{index}].')
+            for index, one in enumerate(value)
+        ]
+
+    def part(self, field: str):
+        """Return the fields of a document inside."""
+        value = self._document.get(field, {})
+        return Fields(self.name, value, f'{self.path}{field}.')
+
+    def endpoint(self, field: str) -> Endpoint:
+        """Return an address with its port."""
+        text = self.text(field)
+        try:
+            return parse_endpoint(text)
+        except ValueError as error:
+            raise self.error(field, str(error)) from error
+
+
+def read_target(name: str, spec) -> TargetEntry:
+    """Read the entry that a target keeps of itself."""
+    fields = Fields(f'{TARGET_KIND}/{name}', spec)
+    return TargetEntry(
+        name=name,
+        number=_target_number(name),
+        service=fields.text('backend'),
+        endpoint=fields.endpoint('address'),
+        failure_domain=fields.text('zone'),
+        slots=max(1, fields.number('capacity', 1)),
+        draining=fields.text('state') == DRAINING,
+        warm_up_ms=fields.number('warmup_left_ms', 0),
+    )
+
+
+def _target_number(name):
+    """Return the number that the hex digits of an id stand for."""
+    digits = name.rpartition('-')[2]
+    try:
+        number = int(digits, HEX_DIGITS)
+    except ValueError:
+        number = -1
+    if number < 0 or len(digits) > LONGEST_NUMBER:
+        message = 'expected up to 16 hex digits after the last dash'
+        raise StoredObjectError(TARGET_KIND, 'name', name, message)
+    return number
+
+
+def read_routes(name: str, spec) -> RouteTable:
+    """Read a configuration; of two routes to one address the first holds."""
+    fields = Fields(f'{CONFIGURATION_KIND}/{name}', spec)
+    routes = {}
+    for one in fields.parts('routes'):
+        route = _read_route(one)
+        routes.setdefault(route.address, route)
+    paths = {
+        one.text('name'): one.text('health_check_path')
+        for one in fields.parts('backends')
+    }
+    limits = fields.part('limits')
+    return RouteTable(
+        version=fields.number('version'),
+        routes=routes,
+        health_paths=paths,
+        idle_limit_ms=limits.number('idle_timeout_ms'),
+    )
+
+
+def _read_route(fields):
+    kind = ROUTE_KINDS.get(fields.text('type'))
+    if kind is None:
+        raise fields.error('type', f'expected one of {sorted(ROUTE_KINDS)}')
+    shares = [
+        ServiceShare(one.text('backend'), one.number('weight'))
+        for one in fields.parts('weighted_backends')
+    ]
+    if not shares:
+        shares = [ServiceShare(fields.text('backend'), WHOLE_WEIGHT)]
+    return Route(
+        name=fields.text('name'),
+        address=_read_address(fields),
+        kind=kind,
+        shares=tuple(shares),
+        priority=fields.number('priority', 0),
+        objective_ms=fields.number('target_latency_ms', 0),
+    )
+
+
+def _read_address(fields):
+    """Return an address whose port stands where a path is expected."""
+    ip = fields.text('host')
+    port = fields.text('path_prefix').strip('/')
+    if not port.isdecimal() or int(port) > HIGHEST_PORT:
+        raise fields.error('path_prefix', 'expected a port between slashes')
+    try:
+        return parse_endpoint(f'{ip}:{port}')
+    except ValueError as error:
+        raise fields.error('host', str(error)) from error
--- /dev/null
+++ b/src/liftmount/platform/settings.py
@@ -0,0 +1,64 @@
+"""Settings of a process on the platform, from the file it lays there."""
+
+import tomllib
+
+from attrs import frozen
+
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.exceptions import StoredObjectError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.problems import Problem
+from liftmount.platform.objects import Fields
+
+SETTINGS_VARIABLE = 'LIFTMOUNT_CONFIG'
+SETTINGS_PATH = '/etc/liftmount/settings.toml'
+MS_PER_S = 1_000
+
+
+@frozen
+class EntrySettings:
+    """What one balancer is told about itself and its surroundings.
+
+    ``packets`` takes datagrams; clients get resets at its port number.
+    ``stop_ms`` is how long a planned stop may take.
+    """
+
+    name: str
+    failure_domain: str
+    packets: Endpoint
+    readiness: Endpoint
+    store: Endpoint
+    flow_max_age_ms: int
+    stop_ms: int
+
+
+def load_settings(path: str) -> EntrySettings:
+    """Read the settings file; fields that are not known are skipped.
+
+    Raises ConfigurationError naming file, key and value.
+    """
+    try:
+        with open(path, 'rb') as stream:
+            document = tomllib.load(stream)
+        return _read(Fields(path, document))
+    except OSError as error:
+        problem = Problem(path, '(file)', '', error.strerror or str(error))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        problem = Problem(path, '(file)', '', f'not TOML: {error}')
+    except StoredObjectError as error:
+        problem = Problem(path, error.field, repr(error.value), error.message)
+    raise ConfigurationError([problem])
+
+
+def _read(fields):
+    listen = fields.part('listen')
+    bounds = fields.part('bounds')
+    return EntrySettings(
+        name=fields.text('node_name'),
+        failure_domain=fields.text('zone'),
+        packets=listen.endpoint('packets'),
+        readiness=listen.endpoint('ready'),
+        store=fields.part('platform').endpoint('address'),
+        flow_max_age_ms=bounds.number('max_flow_s') * MS_PER_S,
+        stop_ms=bounds.number('grace_s') * MS_PER_S,
+    )
