--- a/benches/policies.py
+++ b/benches/policies.py
@@ -18,6 +18,7 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.configuration import Service
 from liftmount._internal.models.settings import LimitSettings
+from liftmount._internal.models.ticks import Tick
 
 CALLER = Endpoint('10.0.0.1', 1)
 ATTEMPTS = 3
@@ -69,7 +70,7 @@
         self.pool.update(infos, int(self.timeline.now_ms))
 
     def _tick(self):
-        self._feed(events.Tick(int(self.timeline.now_ms)))
+        self._feed(Tick(int(self.timeline.now_ms)))
         self.timeline.at(self.timeline.now_ms + TICK_MS, self._tick)
 
     def _nonce(self, priority, deadline_ms):
--- a/src/liftmount/_internal/services/data.py
+++ b/src/liftmount/_internal/services/data.py
@@ -50,6 +50,7 @@
 from liftmount._internal.models.packets import Request
 from liftmount._internal.models.packets import split_body
 from liftmount._internal.models.reasons import Reason
+from liftmount._internal.models.ticks import Tick
 from liftmount._internal.network.udp import UdpSocket
 
 LOG = logging.getLogger('liftmount.data')
@@ -116,7 +117,7 @@
 
     def _tick(self):
         now_ms = self.clock.now_ms()
-        self._execute(requests.decide(self.home, events.Tick(now_ms)))
+        self._execute(requests.decide(self.home, Tick(now_ms)))
         self._execute(streams.expire(self.home, now_ms))
         self.reassembly.expire(now_ms)
         if self.home.leaving and now_ms >= self._next_moves_ms:
--- a/src/liftmount/platform/__init__.py
+++ b/src/liftmount/platform/__init__.py
@@ -5,3 +5,5 @@
 types, ``settings`` reads the settings of a process, and ``__main__``
 starts it.  Nothing outside this folder knows the platform's names.
 """
+
+__all__ = ()
--- a/tests/features/steps/home_steps.py
+++ b/tests/features/steps/home_steps.py
@@ -19,6 +19,7 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.configuration import Service
 from liftmount._internal.models.settings import LimitSettings
+from liftmount._internal.models.ticks import Tick
 from liftmount._internal.models.verdict import Verdict
 
 CALLER = Endpoint('10.0.0.9', 4000)
@@ -157,7 +158,7 @@
             event = events.TargetRefused(request_id, 0, True, now_ms)
         case 'the deadline passes':
             bench.now_ms += SERVICE.deadline_ms
-            event = events.Tick(bench.now_ms)
+            event = Tick(bench.now_ms)
     bench.feed(event)
 
 
@@ -237,7 +238,7 @@
         bench.feed(events.CancelArrived(NONCE, number, now_ms))
     elif name == 'pass':
         bench.now_ms += 3_000
-        bench.feed(events.Tick(bench.now_ms))
+        bench.feed(Tick(bench.now_ms))
     elif in_flight and bench.state.pending[request_id].target:
         if name == 'answer':
             runs[number] += 1
