Place flows by the work under way, not by how many are open

Cause: flows differ a hundredfold in what they ask; a target that has just started has few flows and got all short ones. Work is now counted from new data until the answer's first acknowledgement.

--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -15,6 +15,7 @@
 from attrs import frozen
 
 from liftmount._internal.decisions.flow_tags import TagTable
+from liftmount._internal.decisions.pool import flow_cost
 from liftmount._internal.decisions.pool import Pool
 from liftmount._internal.decisions.pool import TargetInfo
 from liftmount._internal.decisions.target_health import TargetHealth
@@ -30,6 +31,10 @@
 # Part of its weight that a target of another failure domain loses: a flow
 # stays in its own domain until the targets there carry twice as much.
 REMOTE_PENALTY = 0.5
+# How fast the busy share of a target fades: some ten requests long.
+BUSY_FADE_MS = 1_500
+# A request that shows no progress for this long counts no more.
+WORK_MS = 2_000
 # An opening that nothing followed for this long is sent to another target
 # too.  The way to a target and back over the client takes 3 to 12 ms on
 # the links in use; a balancer with a quarter of a core adds some tens.
@@ -177,8 +182,10 @@
     """A flow as this balancer has seen it.
 
     ``tried`` names the targets that its opening went to.  ``sent`` is the
-    sequence number after the last new byte.  ``resent_from`` is the
-    acknowledgement at which data was sent again, None after progress.
+    sequence number after the last new byte.  ``resends``
+    counts segments sent again without progress since.
+    ``is_working`` tells whether a request seems to be under way, since
+    ``working_ms``.
     """
 
     key: bytes
@@ -196,6 +203,8 @@
     sent: int = 0
     acknowledged: int = 0
     resends: int = 0
+    is_working: bool = False
+    working_ms: int = 0
 
 
 @define
@@ -233,6 +242,7 @@
                 service,
                 failure_domain=self.failure_domain,
                 remote_penalty=REMOTE_PENALTY,
+                fade_ms=BUSY_FADE_MS,
             )
             self.pools[service] = found
         return found
@@ -266,7 +276,7 @@
     route = state.table.routes.get(segment.address)
     flow = state.flows.get(segment.flow)
     if route is None:
-        return _without_route(state, segment, flow)
+        return _without_route(state, segment, flow, now_ms)
     if segment.opens:
         return _open(state, segment, route, flow, now_ms)
     if flow is None:
@@ -274,9 +284,9 @@
     return _follow(state, segment, flow, now_ms)
 
 
-def _without_route(state, segment, flow):
+def _without_route(state, segment, flow, now_ms):
     if flow is not None:
-        _end(state, flow)
+        _end(state, flow, now_ms)
     if segment.resets:
         return []
     reason = RefusalReason.NO_ROUTE
@@ -326,12 +336,13 @@
     if len(flow.route.shares) > 1:
         service = _choose_share(state, flow.route)
     pool = state.pool(service)
-    chosen = pool.choose_for_stream(now_ms, avoid=flow.tried)
+    chosen = pool.choose_for_flow(now_ms, avoid=flow.tried)
     if chosen is None:
         return _nowhere(state, segment, flow, now_ms)
     entry = state.tags.entries[chosen.name]
-    load = chosen.open_streams / chosen.weight
-    _move(state, flow, chosen.name)
+    load = flow_cost(chosen, now_ms)
+    _move(state, flow, chosen.name, now_ms)
+    _work(state, flow, True, now_ms)
     flow.tag = state.tags.tag_for(chosen.name)
     flow.tried = (*flow.tried, chosen.name)
     flow.tried_ms = now_ms
@@ -363,23 +374,46 @@
         if entry is not None and not state.health.is_dead(flow.target):
             flow.tried_ms = now_ms
             return [Forward(segment, entry, flow.tag)]
-    _end(state, flow)
+    _end(state, flow, now_ms)
     return [_refuse(segment, RefusalReason.NO_TARGET)]
 
 
-def _move(state, flow, target):
+def _move(state, flow, target, now_ms):
+    was_working = flow.is_working
+    _work(state, flow, False, now_ms)
     _count(state, flow.target, -1)
     flow.target = target
     _count(state, target, 1)
+    _work(state, flow, was_working, now_ms)
 
 
 def _count(state, target, step):
+    load = _load(state, target)
+    if load is not None:
+        load.open_streams = max(0, load.open_streams + step)
+
+
+def _load(state, target):
     entry = state.tags.entries.get(target)
     if entry is None:
+        return None
+    return state.pool(entry.service).targets.get(target)
+
+
+def _work(state, flow, is_working, now_ms):
+    """Note that a flow's request began or ended."""
+    if is_working:
+        flow.working_ms = now_ms
+    if flow.is_working == is_working:
         return
-    load = state.pool(entry.service).targets.get(target)
-    if load is not None:
-        load.open_streams = max(0, load.open_streams + step)
+    flow.is_working = is_working
+    if _load(state, flow.target) is None:
+        return
+    pool = state.pool(state.tags.entries[flow.target].service)
+    if is_working:
+        pool.started(flow.target, now_ms)
+    else:
+        pool.finished(flow.target, now_ms)
 
 
 # Segments of flows that are open, or seem so.
@@ -403,7 +437,7 @@
         acknowledged=segment.acknowledgement,
     )
     state.flows[segment.flow] = flow
-    _move(state, flow, entry.name)
+    _move(state, flow, entry.name, now_ms)
     return _follow(state, segment, flow, now_ms)
 
 
@@ -425,18 +459,18 @@
         actions += _opened(state, segment, flow, now_ms)
     entry = state.tags.entries.get(flow.target)
     if entry is None:
-        _end(state, flow)
+        _end(state, flow, now_ms)
         return [*actions, _refuse(segment, RefusalReason.TARGET_GONE)]
     actions += _note_progress(state, segment, flow, now_ms)
     flow.seen_ms = now_ms
     if segment.resets or segment.closes:
-        _close(state, flow)
+        _close(state, flow, now_ms)
     elif state.health.is_dead(flow.target):
-        _end(state, flow)
+        _end(state, flow, now_ms)
         reason = RefusalReason.TARGET_DEAD
         return [*actions, _refuse(segment, reason, flow.target)]
     elif flow.resends and flow.target in state.former:
-        _end(state, flow)
+        _end(state, flow, now_ms)
         reason = RefusalReason.TARGET_GONE
         return [*actions, _refuse(segment, reason, flow.target)]
     actions.append(Forward(segment, entry, flow.tag))
@@ -451,7 +485,7 @@
     flow.acknowledged = segment.acknowledgement
     named = _named_by(state, segment, flow.route)
     if named is not None and named.name != flow.target:
-        _move(state, flow, named.name)
+        _move(state, flow, named.name, now_ms)
     if named is not None:
         flow.tag = segment.tag
     return [
@@ -470,27 +504,39 @@
     if segment.acknowledgement != flow.acknowledged:
         flow.acknowledged = segment.acknowledgement
         flow.resends = 0
+        # An answer is on its way, or another request began.
+        _work(state, flow, _is_new(segment, flow), now_ms)
         return [TargetSeen(flow.target, now_ms)]
     if not segment.length_bytes:
         return []
-    end = (segment.sequence + segment.length_bytes) & SEQUENCE_MASK
-    ahead = (end - flow.sent) & SEQUENCE_MASK
-    if 0 < ahead < HALF_SEQUENCE:
-        flow.sent = end
+    if _is_new(segment, flow):
+        _work(state, flow, True, now_ms)
         return []
     flow.resends += 1
     return [TargetSilent(flow.target, now_ms)]
 
 
-def _close(state, flow):
-    if flow.phase is not Phase.CLOSED:
-        flow.phase = Phase.CLOSED
-        _count(state, flow.target, -1)
+def _is_new(segment, flow):
+    """Tell whether a segment holds data for the first time; note it."""
+    if not segment.length_bytes:
+        return False
+    end = (segment.sequence + segment.length_bytes) & SEQUENCE_MASK
+    ahead = (end - flow.sent) & SEQUENCE_MASK
+    if not 0 < ahead < HALF_SEQUENCE:
+        return False
+    flow.sent = end
+    return True
 
 
-def _end(state, flow):
+def _close(state, flow, now_ms):
     if flow.phase is not Phase.CLOSED:
+        _work(state, flow, False, now_ms)
         _count(state, flow.target, -1)
+        flow.phase = Phase.CLOSED
+
+
+def _end(state, flow, now_ms):
+    _close(state, flow, now_ms)
     state.flows.pop(flow.key, None)
 
 
@@ -536,7 +582,7 @@
     for flow in list(state.flows.values()):
         route = event.table.routes.get(flow.address)
         if route is None:
-            _end(state, flow)
+            _end(state, flow, event.now_ms)
             actions.append(_cut(flow, RefusalReason.ROUTE_DROPPED))
         else:
             flow.route = route
@@ -601,7 +647,7 @@
     for flow in list(state.flows.values()):
         if flow.target != event.name or flow.phase is not Phase.OPEN:
             continue
-        _end(state, flow)
+        _end(state, flow, event.now_ms)
         actions.append(_cut(flow, RefusalReason.TARGET_DEAD))
     return actions
 
@@ -655,8 +701,10 @@
         limit_ms = idle_ms
         if flow.phase is not Phase.OPEN:
             limit_ms = CLOSED_MS
+        if flow.is_working and now_ms - flow.working_ms > WORK_MS:
+            _work(state, flow, False, now_ms)
         if now_ms - flow.seen_ms > limit_ms:
-            _end(state, flow)
+            _end(state, flow, now_ms)
     for name, until_ms in list(state.former.items()):
         if now_ms >= until_ms:
             del state.former[name]
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -34,6 +34,10 @@
 # Part of a full share that a target gets while it says that it warms up;
 # measured on targets whose work takes 1.6 times as long meanwhile.
 WARMING_SHARE = 0.6
+# Slots that a flow is expected to take, beside what runs now: one that is
+# open without a request, and one that is about to open.
+OPEN_FLOW_SHARE = 0.02
+NEW_FLOW_SHARE = 0.25
 _LCG_FACTOR = 6364136223846793005
 _LCG_STEP = 1442695040888963407
 _LCG_MASK = 2**64 - 1
@@ -105,13 +109,14 @@
     """The targets of one pool; ``failure_domain`` is that of the owner.
 
     ``remote_penalty`` is the part of its weight that a target of another
-    failure domain loses.
+    failure domain loses; ``fade_ms`` is how fast its busy share fades.
     """
 
     key: str
     failure_domain: str = ''
     targets: dict[str, TargetLoad] = Factory(dict)
     remote_penalty: float = REMOTE_PENALTY
+    fade_ms: float = FADE_MS
     seed: int = 1
     panics: int = 0
     _usable: list | None = None
@@ -146,7 +151,7 @@
     def _new(self, info, now_ms):
         # A newcomer counts as busy as the others, or it would be flooded.
         busy = self.mean_busy(now_ms)
-        share = BusyShare(FADE_MS, busy, now_ms)
+        share = BusyShare(self.fade_ms, busy, now_ms)
         # The first targets of a pool have nobody to be compared with.
         added_ms = now_ms if self.targets else now_ms - RAMP_MS
         limit = info.slots or INITIAL_LIMIT
@@ -264,6 +269,22 @@
             self._weigh(now_ms)
         return min(usable, key=_stream_load)
 
+    def choose_for_flow(self, now_ms: int, avoid=()) -> TargetLoad | None:
+        """Return the target for a flow of unknown length.
+
+        What runs now and ran of late counts most: flows differ so much in
+        what they ask that a new target which has few of them would be
+        flooded if they were only counted.
+        """
+        usable = self._sample(self.usable(now_ms))
+        if avoid:
+            usable = [one for one in usable if one.name not in avoid]
+        if not usable:
+            return None
+        if now_ms >= self._weights_until_ms:
+            self._weigh(now_ms)
+        return min(usable, key=lambda one: flow_cost(one, now_ms))
+
     def _weigh(self, now_ms):
         """Work the weights for long flows out anew; they change slowly."""
         self._weights_until_ms = now_ms + WEIGHTS_MS
@@ -359,6 +380,14 @@
         return min(known, default=0.0)
 
 
+def flow_cost(target: TargetLoad, now_ms: int) -> float:
+    """Return how loaded a target would be with one more flow."""
+    busy = target.busy.update(target.in_progress, now_ms)
+    idle = OPEN_FLOW_SHARE * target.open_streams
+    work = target.in_progress + busy + idle + NEW_FLOW_SHARE
+    return work / target.weight
+
+
 def _stream_load(target):
     return (target.open_streams + 1) / target.weight
 
