End a planned stop as soon as the fabric has moved on

Cause: a stopping balancer forwarded on for 4.5 s, so the next one of its domain was stopped while it restarted.

--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -8,6 +8,7 @@
 from liftmount._internal.decisions import following
 from liftmount._internal.decisions import forwarding
 from liftmount._internal.decisions import target_health
+from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.addresses import Endpoint
@@ -41,7 +42,7 @@
         self._counters = counters
         self._socket = None
         self._probes = set()
-        self.leaving = False
+        self.leaving: LeavingState | None = None
         self.directory = directory.DirectoryState()
         self.state = forwarding.ForwardingState(
             options.failure_domain, options.flow_max_age_ms
@@ -49,7 +50,8 @@
 
     def why_not_ready(self) -> str:
         """Return why no packets should come here; empty when they may."""
-        if self.leaving:
+        if self.leaving is not None:
+            self.leaving.refused()
             return 'stopping'
         if self.state.table is None:
             return 'no configuration yet'
@@ -57,6 +59,10 @@
             return 'no targets yet'
         return ''
 
+    def leave(self, until_ms: int) -> None:
+        """Begin a planned stop that ends at ``until_ms`` at the latest."""
+        self.leaving = LeavingState(self.clock.now_ms(), until_ms)
+
     async def start(self):
         """Bind the socket; packets wait in it until routes are known."""
         address: Endpoint = self._options.packets
@@ -105,6 +111,8 @@
             except PacketError:
                 self._counters.count('refused.malformed_packet')
                 continue
+            if self.leaving is not None:
+                self.leaving.packet(now_ms)
             event = forwarding.SegmentArrived(segment, now_ms)
             self._execute(forwarding.decide(self.state, event))
 
--- a/src/liftmount/platform/daemon.py
+++ b/src/liftmount/platform/daemon.py
@@ -30,9 +30,7 @@
 READY_PATH = '/ready'
 STATUS_USAGE = 2
 FLUSH_MS = 200
-# A stopping balancer forwards until the fabric has left it for sure: it
-# asks twice a second and lets two answers pass, then packets are under way.
-FORWARD_ON_MS = 4_500
+CHECK_MS = 50
 # What must be left of the time for a planned stop when the process ends.
 STOP_MARGIN_MS = 800
 
@@ -80,10 +78,7 @@
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
     if not running.done():
-        kernel.lookup('packets').leaving = True
-        log.write('process', 'stopping')
-        left_ms = settings.stop_ms - STOP_MARGIN_MS
-        await asyncio.sleep(seconds(min(FORWARD_ON_MS, left_ms)))
+        await _leave(kernel, settings, log)
     for task in (running, flushing, stopped):
         task.cancel()
     results = await asyncio.gather(running, return_exceptions=True)
@@ -93,6 +88,18 @@
         raise results[0]
 
 
+async def _leave(kernel, settings, log):
+    """Forward until the fabric has moved on."""
+    log.write('process', 'stopping')
+    packets = kernel.lookup('packets')
+    now_ms = kernel.clock.now_ms()
+    packets.leave(now_ms + settings.stop_ms - STOP_MARGIN_MS)
+    while not packets.leaving.may_end(kernel.clock.now_ms()):
+        await asyncio.sleep(seconds(CHECK_MS))
+    forwarded_ms = kernel.clock.now_ms() - now_ms
+    log.write('process', 'left', forwarded_ms=forwarded_ms)
+
+
 def _reload(path, log):
     try:
         load_settings(path)
