Take two resends as evidence, and let balancers lean to different targets

Cause: targets acknowledge every second segment, so a request of one is sent again whenever its answer takes over 200 ms; each led to a probe. And all balancers chose the first of equal targets.

--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -33,6 +33,10 @@
 REMOTE_PENALTY = 0.5
 # How fast the busy share of a target fades: some ten requests long.
 BUSY_FADE_MS = 1_500
+# Segments sent again without progress before they speak against a target.
+# Targets acknowledge every second segment, so a request of one segment is
+# sent again whenever its answer takes longer than 200 ms.
+RESENDS_TO_DOUBT = 2
 # A request that shows no progress for this long counts no more.
 WORK_MS = 2_000
 # An opening that nothing followed for this long is sent to another target
@@ -211,11 +215,13 @@
 class ForwardingState:
     """Routes, targets, pools by service, flows, and evidence.
 
-    ``former`` holds when a target that is gone may be forgotten.
+    ``former`` holds when a target that is gone may be forgotten; ``seed``
+    makes the choices of balancers differ.
     """
 
     failure_domain: str
     flow_max_age_ms: int
+    seed: int = 1
     table: RouteTable | None = None
     has_targets: bool = False
     tags: TagTable = Factory(TagTable)
@@ -243,6 +249,7 @@
                 failure_domain=self.failure_domain,
                 remote_penalty=REMOTE_PENALTY,
                 fade_ms=BUSY_FADE_MS,
+                seed=self.seed,
             )
             self.pools[service] = found
         return found
@@ -463,13 +470,14 @@
         return [*actions, _refuse(segment, RefusalReason.TARGET_GONE)]
     actions += _note_progress(state, segment, flow, now_ms)
     flow.seen_ms = now_ms
+    is_stuck = flow.resends >= RESENDS_TO_DOUBT
     if segment.resets or segment.closes:
         _close(state, flow, now_ms)
     elif state.health.is_dead(flow.target):
         _end(state, flow, now_ms)
         reason = RefusalReason.TARGET_DEAD
         return [*actions, _refuse(segment, reason, flow.target)]
-    elif flow.resends and flow.target in state.former:
+    elif is_stuck and flow.target in state.former:
         _end(state, flow, now_ms)
         reason = RefusalReason.TARGET_GONE
         return [*actions, _refuse(segment, reason, flow.target)]
@@ -513,6 +521,8 @@
         _work(state, flow, True, now_ms)
         return []
     flow.resends += 1
+    if flow.resends < RESENDS_TO_DOUBT:
+        return []
     return [TargetSilent(flow.target, now_ms)]
 
 
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -7,6 +7,8 @@
 so get less without anyone measuring their speed.
 """
 
+from zlib import crc32
+
 from attrs import define
 from attrs import Factory
 from attrs import frozen
@@ -38,6 +40,10 @@
 # open without a request, and one that is about to open.
 OPEN_FLOW_SHARE = 0.02
 NEW_FLOW_SHARE = 0.25
+# Balancers that see equal targets must not all choose the same one, so
+# each leans a little, by up to this many slots, to some of them.
+LEAN_SHARE = 0.15
+CRC_MASK = 2**32 - 1
 _LCG_FACTOR = 6364136223846793005
 _LCG_STEP = 1442695040888963407
 _LCG_MASK = 2**64 - 1
@@ -95,6 +101,7 @@
     ejections: int = 0
     ejected_until_ms: int = 0
     weight: float = 1.0
+    lean: float = 0.0
 
     def ramp(self, now_ms: int) -> float:
         """Return the share of new flows due to a target that is new."""
@@ -164,8 +171,13 @@
             leaving=info.leaving,
             slots=info.slots,
             capacity=Capacity(limit=limit),
+            lean=self._lean(info.name),
         )
 
+    def _lean(self, name):
+        mixed = crc32(name.encode(), self.seed & CRC_MASK)
+        return LEAN_SHARE * mixed / CRC_MASK
+
     def seen(self, name: str, incarnation: int, now_ms: int) -> None:
         """Note the incarnation that a target gave when it was met.
 
@@ -385,7 +397,7 @@
     busy = target.busy.update(target.in_progress, now_ms)
     idle = OPEN_FLOW_SHARE * target.open_streams
     work = target.in_progress + busy + idle + NEW_FLOW_SHARE
-    return work / target.weight
+    return (work + target.lean) / target.weight
 
 
 def _stream_load(target):
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from zlib import crc32
 
 from liftmount._internal.clock import seconds
 from liftmount._internal.decisions import directory
@@ -45,7 +46,9 @@
         self.leaving: LeavingState | None = None
         self.directory = directory.DirectoryState()
         self.state = forwarding.ForwardingState(
-            options.failure_domain, options.flow_max_age_ms
+            options.failure_domain,
+            options.flow_max_age_ms,
+            seed=crc32(options.name.encode()) or 1,
         )
 
     def why_not_ready(self) -> str:
