--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -99,6 +99,17 @@
     is_doubted: bool = False
 
 
+@frozen
+class TargetsSettled:
+    """All that the store told at once about targets is taken over.
+
+    What waited for targets is decided on now; after the first of many it
+    would all go to that one.
+    """
+
+    now_ms: int
+
+
 @frozen
 class TargetRemoved:
     """A target has ended; its flows may be under way still."""
@@ -270,6 +281,9 @@
             return _put(state, event)
         case TargetRemoved():
             return _remove(state, event)
+        case TargetsSettled():
+            state.has_targets = bool(state.tags.entries)
+            return _release(state, event.now_ms)
         case TargetDied():
             return _died(state, event)
         case RoutesChanged():
@@ -616,12 +630,9 @@
 
 def _put(state, event):
     entry = event.entry
-    is_new = entry.name not in state.tags.entries
     state.tags.add(entry)
     state.former.pop(entry.name, None)
     state.pool(entry.service).put(_info(state, event), event.now_ms)
-    if is_new and state.held:
-        return _release(state, event.now_ms)
     return []
 
 
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -144,14 +144,17 @@
             event = directory.TargetsListed(
                 message.items, message.revision, now_ms
             )
-            self._believe(directory.decide(self.directory, event))
-            self.state.has_targets |= bool(message.items)
+            self._settle(directory.decide(self.directory, event), now_ms)
         else:
             event = directory.TargetsChanged(
                 message.written, message.removed, message.revision, now_ms
             )
-            self._believe(directory.decide(self.directory, event))
-            self.state.has_targets |= bool(message.written)
+            self._settle(directory.decide(self.directory, event), now_ms)
+
+    def _settle(self, actions, now_ms):
+        self._believe(actions)
+        event = forwarding.TargetsSettled(now_ms)
+        self._execute(forwarding.decide(self.state, event))
 
     def _take_routes(self, table, now_ms):
         before = self.state.table
