--- /dev/null
+++ b/tests/features/steps/forwarding_steps.py
@@ -0,0 +1,606 @@
+"""Steps on forwarding: a balancer's decisions on segments."""
+
+import random
+
+from attrs import define
+from attrs import evolve
+from attrs import Factory
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from liftmount._internal.decisions import flow_tags
+from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions.target_health import TargetJudged
+from liftmount._internal.decisions.target_health import TargetSilent
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import Segment
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.models.segments import TargetEntry
+from liftmount._internal.models.ticks import Tick
+
+START_MS = 1_000
+TICK_MS = 20
+FLOW_MAX_AGE_MS = 60_000
+CLIENT_DATA_BYTES = 100
+
+
+def make_entry(name, service, domain='a', number=None, draining=False):
+    """Return a target; its endpoint follows from its number."""
+    number = number or abs(hash(name)) % 2**31
+    return TargetEntry(
+        name=name,
+        number=number,
+        service=service,
+        endpoint=Endpoint('127.0.0.1', 1 + number % 60_000),
+        failure_domain=domain,
+        slots=3,
+        draining=draining,
+    )
+
+
+@define
+class Balancer:
+    """A state, its time, and all that it was told to do."""
+
+    state: forwarding.ForwardingState
+    now_ms: int = START_MS
+    actions: list = Factory(list)
+    last: list = Factory(list)
+    segments: dict = Factory(dict)
+
+    def feed(self, event):
+        """Decide on an event and keep the actions."""
+        self.last = forwarding.decide(self.state, event)
+        self.actions += self.last
+        return self.last
+
+    def pass_time(self, interval_ms):
+        """Let time pass in ticks."""
+        until_ms = self.now_ms + interval_ms
+        while self.now_ms < until_ms:
+            self.now_ms = min(until_ms, self.now_ms + TICK_MS)
+            self.feed(Tick(self.now_ms))
+
+    def send(self, client, address, tag=0, opens=False, **changes):
+        """Let a client send a segment."""
+        segment = Segment(
+            flow=f'{client}>{address}'.encode(),
+            client=Endpoint('192.0.2.1', client),
+            address=parse_endpoint(address),
+            opens=opens,
+            closes=False,
+            resets=False,
+            sequence=0,
+            acknowledgement=0 if opens else 500,
+            length_bytes=0,
+            tag=tag,
+            datagram=b'',
+        )
+        for name, value in changes.items():
+            setattr(segment, name, value)
+        self.segments[client] = segment
+        return self.feed(forwarding.SegmentArrived(segment, self.now_ms))
+
+    def put(self, entry):
+        """Make a target known."""
+        self.feed(forwarding.TargetPut(entry, self.now_ms))
+        return self.feed(forwarding.TargetsSettled(self.now_ms))
+
+    def flow(self, client):
+        """Return the flow of a client."""
+        return self.state.flows[self.segments[client].flow]
+
+    def of(self, kind):
+        """Return all actions of a kind."""
+        return [one for one in self.actions if isinstance(one, kind)]
+
+    def openings(self, client):
+        """Return where the opening of a client went."""
+        return [
+            one.target.name
+            for one in self.of(forwarding.Forward)
+            if one.segment.client.port == client and one.segment.opens
+        ]
+
+
+def forwards(actions):
+    """Return the forwards among actions."""
+    return [one for one in actions if isinstance(one, forwarding.Forward)]
+
+
+def make_balancer(domain):
+    """Return a balancer that knows nothing."""
+    state = forwarding.ForwardingState(domain, FLOW_MAX_AGE_MS)
+    balancer = Balancer(state)
+    balancer.feed(Tick(START_MS))
+    return balancer
+
+
+def make_table(version, routes):
+    """Return a route table."""
+    by_address = {one.address: one for one in routes}
+    return RouteTable(version, by_address, {}, idle_limit_ms=15_000)
+
+
+def read_routes(table):
+    """Return the routes of a behave table."""
+    routes = []
+    for row in table:
+        shares = []
+        for part in row['services'].split():
+            service, _equals, weight = part.partition('=')
+            shares.append(ServiceShare(service, int(weight or 1)))
+        routes.append(
+            Route(
+                name=row['route'],
+                address=parse_endpoint(row['address']),
+                kind=RouteKind.REPEATABLE,
+                shares=tuple(shares),
+                priority=1,
+                objective_ms=200,
+            )
+        )
+    return routes
+
+
+@given('a balancer in domain {domain} with the targets')
+def balancer_with_targets(context, domain):
+    context.balancer = make_balancer(domain)
+    context.entries = {
+        row['target']: make_entry(
+            row['target'], row['service'], row['domain'], int(row['number'])
+        )
+        for row in context.table
+    }
+    for entry in context.entries.values():
+        context.balancer.put(entry)
+
+
+@given('the routes')
+def with_routes(context):
+    context.routes = read_routes(context.table)
+    table = make_table(3, context.routes)
+    context.balancer.feed(forwarding.RoutesChanged(table, START_MS))
+
+
+@given('a balancer in domain a that knows nothing yet')
+def balancer_without_knowledge(context):
+    context.balancer = make_balancer('a')
+
+
+@step('client {client:d} opens a flow to {address}')
+@step('client {client:d} opened a flow to {address}')
+def open_flow(context, client, address):
+    context.balancer.send(client, address, opens=True)
+
+
+@when('clients {first:d} to {last:d} open flows to {address}')
+def open_flows(context, first, last, address):
+    context.opened = range(first, last + 1)
+    for client in context.opened:
+        context.balancer.send(client, address, opens=True)
+
+
+@given('client {client:d} has an open flow to {address}')
+def open_flow_whole(context, client, address):
+    balancer = context.balancer
+    balancer.send(client, address, opens=True)
+    send_data(balancer, client, address)
+
+
+def send_data(balancer, client, address, **changes):
+    """Let a client send new data on its flow."""
+    flow = balancer.flow(client)
+    sequence = max(1, flow.sent)
+    fields = {'sequence': sequence, 'length_bytes': CLIENT_DATA_BYTES}
+    tag = changes.pop('tag', flow.tag)
+    return balancer.send(client, address, tag, **{**fields, **changes})
+
+
+@step('{interval:d} ms pass')
+@step('{interval:d} ms passed')
+def time_passes(context, interval):
+    context.balancer.pass_time(interval)
+
+
+@when('the balancer stands still for {interval:d} ms')
+def stand_still(context, interval):
+    context.balancer.now_ms += interval
+    context.balancer.feed(Tick(context.balancer.now_ms))
+
+
+def tag_of(number):
+    """Return the first tag of a target's number."""
+    return flow_tags.make_tag(number, 0)
+
+
+@when('a segment of client {client:d} to {address} arrives with the tag of '
+      'number {number:d}')  # fmt: skip
+def segment_with_number(context, client, address, number):
+    context.balancer.send(client, address, tag_of(number))
+
+
+@when('a segment of client {client:d} to {address} arrives with the tag of '
+      '{target}')  # fmt: skip
+def segment_with_tag(context, client, address, target):
+    number = context.entries[target].number
+    context.balancer.send(client, address, tag_of(number))
+
+
+@then('it is forwarded to {target} with the tag of {other}')
+def forwarded_to(context, target, other):
+    (found,) = forwards(context.balancer.last)
+    assert found.target.name == target, found
+    number = context.balancer.state.tags.entries[other].number
+    assert found.tag == tag_of(number), found
+
+
+@then('it is forwarded to some target of {service}')
+def forwarded_somewhere(context, service):
+    (found,) = forwards(context.balancer.last)
+    assert found.target.service == service, found
+
+
+@then('it is held, and targets are asked for')
+def held(context):
+    balancer = context.balancer
+    assert not forwards(balancer.last)
+    assert len(balancer.state.held) == 1
+    kinds = [type(one) for one in balancer.last]
+    assert kinds == [forwarding.TargetsNeeded], kinds
+
+
+@then('it is answered by a reset: {reason}')
+def answered_by_reset(context, reason):
+    (found,) = context.balancer.last
+    assert isinstance(found, forwarding.Refuse), found
+    assert found.reason.value == reason, found
+
+
+@then('it was dropped: {reason}')
+def was_dropped(context, reason):
+    (found,) = context.balancer.of(forwarding.Drop)
+    assert found.reason.value == reason, found
+
+
+@then('no reset was sent')
+def no_reset(context):
+    assert not context.balancer.of(forwarding.Refuse)
+
+
+@then('{count:d} resets were sent')
+def resets_sent(context, count):
+    found = context.balancer.of(forwarding.Refuse)
+    assert len(found) == count, found
+
+
+@then('{count:d} silences were reported')
+def silences_reported(context, count):
+    found = context.balancer.of(TargetSilent)
+    assert len(found) == count, found
+
+
+@then('the flows of clients 1 and 2 are at {first} and {second} in some order')
+def flows_at(context, first, second):
+    found = {context.balancer.flow(client).target for client in (1, 2)}
+    assert found == {first, second}, found
+
+
+def count_at(context, target):
+    """Return how many of the flows just opened are at a target."""
+    balancer = context.balancer
+    return sum(balancer.flow(one).target == target for one in context.opened)
+
+
+@then('{target} has at least {least:d} and at most {most:d} of the flows')
+def share_of_flows(context, target, least, most):
+    found = count_at(context, target)
+    assert least <= found <= most, found
+
+
+@then('each target of guide in domain a has at least {least:d} of the flows')
+def spread(context, least):
+    for target in ('near-1', 'near-2'):
+        assert count_at(context, target) >= least, target
+
+
+@then('the opening of client {client:d} was sent {count:d} times, to '
+      'different targets')  # fmt: skip
+def opening_sent(context, client, count):
+    found = context.balancer.openings(client)
+    assert len(found) == len(set(found)) == count, found
+
+
+@when('client 1 sends data with the tag of its {which} target')
+def data_with_tag(context, which):
+    balancer = context.balancer
+    index = ('first', 'second').index(which)
+    target = balancer.openings(1)[index]
+    number = balancer.state.tags.entries[target].number
+    found = send_data(balancer, 1, '198.51.0.1:8443', tag=tag_of(number))
+    context.__dict__.setdefault('sent', []).extend(forwards(found))
+
+
+@then('both are forwarded to its first target with the tag of that')
+def both_to_first(context):
+    first = context.balancer.openings(1)[0]
+    assert [one.target.name for one in context.sent] == [first, first]
+    number = context.balancer.state.tags.entries[first].number
+    assert {one.tag for one in context.sent} == {tag_of(number)}
+
+
+@when('the target {name} of {service} with number {number:d} becomes known')
+def target_known(context, name, service, number):
+    entry = make_entry(name, service, number=number)
+    context.entries[name] = entry
+    context.balancer.put(entry)
+
+
+@when('it learns targets and routes')
+def learns_all(context):
+    balancer = context.balancer
+    balancer.feed(
+        forwarding.RoutesChanged(
+            make_table(3, context.routes), balancer.now_ms
+        )
+    )
+    for entry in context.entries.values():
+        event = forwarding.TargetPut(entry, balancer.now_ms)
+        balancer.feed(event)
+    balancer.feed(forwarding.TargetsSettled(balancer.now_ms))
+
+
+@when('version {version:d} without the route {name} comes into force')
+def version_without(context, version, name):
+    routes = [one for one in context.routes if one.name != name]
+    balancer = context.balancer
+    table = make_table(version, routes)
+    balancer.feed(forwarding.RoutesChanged(table, balancer.now_ms))
+
+
+@when('version {version:d} with all routes arrives')
+def version_with_all(context, version):
+    balancer = context.balancer
+    table = make_table(version, context.routes)
+    balancer.feed(forwarding.RoutesChanged(table, balancer.now_ms))
+
+
+@then('version {version:d} is in force')
+def version_in_force(context, version):
+    assert context.balancer.state.table.version == version
+
+
+@then('a new flow to {address} is answered by a reset: {reason}')
+def new_flow_reset(context, address, reason):
+    context.balancer.send(99, address, opens=True)
+    answered_by_reset(context, reason)
+
+
+@then('the flow of client {client:d} was reset: {reason}')
+def flow_reset(context, client, reason):
+    (found,) = context.balancer.of(forwarding.Refuse)
+    assert found.client.port == client, found
+    assert found.reason.value == reason, found
+
+
+@then("the reset carries the client's last acknowledgement")
+def reset_fits(context):
+    (found,) = context.balancer.of(forwarding.Refuse)
+    assert found.sequence == context.balancer.segments[1].acknowledgement
+
+
+@then('data of client {client:d} is forwarded')
+def data_forwarded(context, client):
+    balancer = context.balancer
+    address = str(balancer.segments[client].address)
+    target = balancer.flow(client).target
+    (found,) = forwards(send_data(balancer, client, address))
+    assert found.target.name == target, found
+
+
+@when('the target of client 1 drains')
+def target_drains(context):
+    context.target = context.balancer.flow(1).target
+    entry = context.entries[context.target]
+    context.balancer.put(evolve(entry, draining=True))
+
+
+@step('the target of client 1 is gone from the list')
+def target_gone(context):
+    balancer = context.balancer
+    name = balancer.flow(1).target
+    balancer.feed(forwarding.TargetRemoved(name, balancer.now_ms))
+
+
+@then('the target of client 1 got none of them')
+def target_got_none(context):
+    assert count_at(context, context.target) == 0
+
+
+@when('client 1 sends the same data {times:d} times')
+def same_data(context, times):
+    balancer = context.balancer
+    sequence = balancer.flow(1).sent
+    for _ in range(times):
+        send_data(balancer, 1, '198.51.0.1:8443', sequence=sequence)
+
+
+def judge(balancer, name, is_dead=True):
+    """Judge a target dead or alive, as its health would."""
+    health = balancer.state.health
+    judged = TargetJudged(name, is_dead, 3)
+    (health.dead.add if is_dead else health.dead.discard)(judged.target)
+    return balancer.feed(
+        forwarding.TargetDied(judged.target, is_dead, balancer.now_ms)
+    )
+
+
+@when('the target of client 1 is judged dead')
+def target_judged_dead(context):
+    judge(context.balancer, context.balancer.flow(1).target)
+
+
+@when('all targets of {service} are judged dead')
+def all_judged_dead(context, service):
+    for entry in context.entries.values():
+        if entry.service == service:
+            judge(context.balancer, entry.name)
+
+
+@when('{count:d} random histories of {length:d} events are played')
+def random_histories(context, count, length):
+    context.histories = []
+    for seed in range(count):
+        history = History(context, random.Random(seed))
+        for _ in range(length):
+            history.step()
+        context.histories.append(history)
+
+
+class History:
+    """A balancer under random events; notes what must not happen."""
+
+    def __init__(self, context, rng):
+        self.rng = rng
+        self.balancer = make_balancer('a')
+        self.entries = context.entries
+        self.dead = set()
+        self.moved = []
+        self.reset_alive = []
+        self.wrong_service = []
+        self.opened_at = {}
+        self.services = {
+            '198.51.0.1:8443': 'guide',
+            '198.51.0.2:8443': 'tiles',
+        }
+        for entry in self.entries.values():
+            self.balancer.put(entry)
+        table = make_table(3, context.routes)
+        self.balancer.feed(forwarding.RoutesChanged(table, START_MS))
+
+    def step(self):
+        """Let one random thing happen."""
+        kind = self.rng.choice(
+            ('open', 'data', 'data', 'data', 'again', 'time', 'health')
+        )
+        getattr(self, f'_{kind}')()
+
+    def _pick(self):
+        address = self.rng.choice(list(self.services))
+        return self.rng.randrange(1, 9), address
+
+    def _open(self):
+        client, address = self._pick()
+        self._check(self.balancer.send(client, address, opens=True))
+
+    def _data(self, repeat=False):
+        client, address = self._pick()
+        key = f'{client}>{address}'.encode()
+        flow = self.balancer.state.flows.get(key)
+        if flow is None or not flow.tried:
+            return
+        # The client may echo the tag of any target that answered it.
+        target = self.opened_at.setdefault(key, self.rng.choice(flow.tried))
+        name = target
+        if self.rng.random() < 0.2 and flow.phase is forwarding.Phase.OPEN:
+            name = self.rng.choice(flow.tried)
+        entry = self.balancer.state.tags.entries[name]
+        sequence = flow.sent - (CLIENT_DATA_BYTES if repeat else 0)
+        found = self.balancer.send(
+            client,
+            address,
+            tag_of(entry.number),
+            sequence=max(1, sequence),
+            length_bytes=CLIENT_DATA_BYTES,
+        )
+        self._check(found)
+        for one in forwards(found):
+            if one.target.name != target:
+                self.moved.append((key, target, one.target.name))
+
+    def _again(self):
+        self._data(repeat=True)
+
+    def _time(self):
+        before = self.rng.choice((10, 50, 150, 700))
+        start = len(self.balancer.actions)
+        self.balancer.pass_time(before)
+        self._check(self.balancer.actions[start:])
+
+    def _health(self):
+        name = self.rng.choice(list(self.entries))
+        is_dead = name not in self.dead
+        (self.dead.add if is_dead else self.dead.discard)(name)
+        self._check(judge(self.balancer, name, is_dead))
+
+    def _check(self, actions):
+        for one in actions:
+            if isinstance(one, forwarding.Refuse):
+                self.opened_at.pop(one.flow, None)
+                is_dead = one.target in self.dead
+                if one.target and not is_dead:
+                    self.reset_alive.append(one)
+            elif isinstance(one, forwarding.Forward):
+                wanted = self.services[str(one.segment.address)]
+                if one.target.service != wanted:
+                    self.wrong_service.append(one)
+        for key in [one for one in self.opened_at]:
+            if key not in self.balancer.state.flows:
+                del self.opened_at[key]
+
+
+@then('no open flow changed its target')
+def none_moved(context):
+    found = [one for history in context.histories for one in history.moved]
+    assert not found, found[:3]
+
+
+@then('no flow to a living target was reset')
+def none_reset(context):
+    found = [
+        one for history in context.histories for one in history.reset_alive
+    ]
+    assert not found, found[:3]
+
+
+@then('no segment went to a target of another service')
+def none_astray(context):
+    found = [
+        one for history in context.histories for one in history.wrong_service
+    ]
+    assert not found, found[:3]
+
+
+@given('two targets of {first} and {second} whose tags collide in variant 0')
+def colliding(context, first, second):
+    entries = [
+        make_entry('first', first, number=1),
+        make_entry('second', second, number=2),
+    ]
+    table = flow_tags.TagTable()
+    for entry in entries:
+        table.add(entry)
+    # A true collision is rare; bring one about in the table itself.
+    one, other = (flow_tags.make_tag(number, 0) for number in (1, 2))
+    table.by_tag[one] = table.by_tag[other] = ('first', 'second')
+    context.tags = table
+
+
+@then('flows of the first are found again: {how}')
+def found_again(context, how):
+    tag = context.tags.tag_for('first')
+    variant = tag >> flow_tags.VARIANT_SHIFT
+    assert variant == 1, 'a shared tag was chosen'
+    assert context.tags.find(tag, ['guide']).name == 'first'
+    shared = flow_tags.make_tag(1, 0)
+    found = context.tags.find(shared, ['guide'])
+    if how == 'by their service':
+        assert found.name == 'first'
+    else:
+        assert found is None
