Test beliefs and the adapter; watch on from the newest revision known

A test found that a list older than what was known set the watch back, so that changes already taken over would have come once more.

--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -108,8 +108,9 @@
         case Listed():
             actions = _answered(state)
             state.must_list = False
-            state.revision = event.revision
-            return [*actions, Watch(0, event.revision)]
+            # A list that lags must not bring changes back that are known.
+            state.revision = max(state.revision or 0, event.revision)
+            return [*actions, Watch(0, state.revision)]
         case Changed():
             actions = _answered(state)
             state.revision = max(state.revision, event.revision)
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -54,12 +54,17 @@
             if may_lag:
                 query += '&allow_stale=1'
             page = await self._call(query, timeout_ms)
-            stored = [_stored(one) for one in _list(page, 'items')]
-            items += self._decode(stored)
+            stored, listing = self.read_list(page)
+            items += listing.items
             if not page.get('more_pages') or not stored:
-                return Listing(tuple(items), _revision(page))
+                return Listing(tuple(items), listing.revision)
             after = stored[-1].name
 
+    def read_list(self, page: dict) -> tuple[list[StoredObject], Listing]:
+        """Read one page of a list; raises PlatformError."""
+        stored = [_stored(one) for one in _list(page, 'items')]
+        return stored, Listing(tuple(self._decode(stored)), _revision(page))
+
     async def watch(
         self, revision: int, wait_ms: int, timeout_ms: float
     ) -> Delta:
@@ -68,16 +73,17 @@
         Raises HistoryGoneError when the store forgot what lies between.
         """
         query = f'?watch={revision}&wait_ms={wait_ms}'
-        page = await self._call(query, timeout_ms)
+        return self.read_changes(await self._call(query, timeout_ms))
+
+    def read_changes(self, page: dict) -> Delta:
+        """Read the answer of a watch; raises PlatformError."""
         events = [_event(one) for one in _list(page, 'events')]
         # Only the last state of each object matters.
         latest = {one.name: one for one in events}
+        written = [one for one in latest.values() if not one.is_gone]
+        removed = [one.name for one in latest.values() if one.is_gone]
         return Delta(
-            written=tuple(
-                self._decode(one for one in latest.values() if not one.is_gone)
-            ),
-            removed=tuple(one.name for one in latest.values() if one.is_gone),
-            revision=_revision(page),
+            tuple(self._decode(written)), tuple(removed), _revision(page)
         )
 
     def close(self) -> None:
--- /dev/null
+++ b/tests/features/decisions/beliefs.feature
@@ -0,0 +1,87 @@
+Feature: What a balancer believes, and when it doubts
+  Pure decisions on targets, the store and planned stops.
+
+  Scenario Outline: A target is dead only after probes in a row got no answer
+    When evidence on a target comes in this order: <events>
+    Then <probes> probes were sent, and the target is <condition>
+
+    Examples:
+      | events                                                   | probes | condition |
+      | silent                                                   | 1      | alive |
+      | silent, probe silent, probe silent                       | 3      | alive |
+      | silent, probe silent, probe silent, probe silent         | 3      | dead  |
+      | silent, probe silent, probe silent, probe answered       | 3      | alive |
+      | silent, probe silent, seen, probe silent                 | 2      | alive |
+      | silent, silent, silent                                   | 1      | alive |
+      | seen, silent                                             | 1      | alive |
+      | silent, probe answered, silent                           | 1      | alive |
+      | silent, probe answered, wait 50, silent                  | 2      | alive |
+      | silent, probe replaced                                   | 1      | dead  |
+      | silent, probe void, tick, probe silent                   | 3      | alive |
+      | silent, probe silent, probe silent, probe silent, seen   | 3      | alive |
+      | silent, probe silent, probe silent, probe silent, wait 100, tick   | 3 | dead |
+      | silent, probe silent, probe silent, probe silent, wait 800, tick   | 4 | dead |
+      | silent, probe silent, probe silent, probe silent, wait 800, tick, probe answered | 4 | alive |
+
+  Scenario Outline: Entries that vanish are doubted before they are gone
+    When the store tells in this order: <events>
+    Then the target is <belief>
+
+    Examples:
+      | events                                             | belief   |
+      | written                                            | believed |
+      | written, removed                                   | doubted  |
+      | written, removed, wait 2600                        | gone     |
+      | written, removed, wait 1000, written, wait 3000    | believed |
+      | written, draining, removed                         | gone     |
+      | written, lost, removed                             | believed |
+      | written, lost, removed, wait 2400                  | believed |
+      | written, lost, removed, wait 2600                  | gone     |
+      | written, lost, removed, wait 1000, lost, wait 2400 | believed |
+      | written, lost, wait 1000, listed without, wait 1000, written | believed |
+      | written, listed without, wait 2600                 | gone     |
+      | written, old list without, wait 2600               | believed |
+
+  Scenario Outline: The store is followed without gaps
+    When calls end in this order: <events>
+    Then the next call is <call>
+
+    Examples:
+      | events                                     | call                       |
+      | start                                      | list that may lag at once  |
+      | start, listed 10                           | watch from 10 at once      |
+      | start, listed 10, changed 12 by 1          | watch from 12 after 700 ms |
+      | start, listed 10, changed 12 by 0          | watch from 12 at once      |
+      | start, listed 10, failed                   | watch from 10 after 100 ms |
+      | start, listed 10, failed, failed           | watch from 10 after 200 ms |
+      | start, listed 10, failed x20               | watch from 10 after 1000 ms |
+      | start, listed 10, gone                     | exact list at once         |
+      | start, listed 10, gone, failed             | exact list after 100 ms    |
+      | start, listed 10, gone, listed 8           | watch from 10 at once      |
+      | start, failed                              | list that may lag after 100 ms |
+      | start, listed 10, failed, changed 11 by 0  | watch from 11 at once      |
+
+  Scenario Outline: Trouble with the store is said once, and its end
+    When calls end in this order: <events>
+    Then the store was lost <lost> times and regained <regained> times
+
+    Examples:
+      | events                                       | lost | regained |
+      | start, listed 10                             | 0    | 0        |
+      | start, failed, failed, listed 10             | 1    | 1        |
+      | start, listed 10, failed, gone, failed       | 2    | 1        |
+
+  Scenario Outline: A planned stop ends when the fabric has moved on
+    When a stopping balancer sees: <events>
+    Then it may end: <may_end>
+
+    Examples:
+      | events                                        | may_end |
+      | wait 300                                      | no      |
+      | refusal, wait 300                             | no      |
+      | refusal, wait 500, refusal                    | yes     |
+      | refusal, packet, wait 100, refusal            | no      |
+      | refusal, refusal, packet, wait 150            | no      |
+      | refusal, refusal, packet, wait 250            | yes     |
+      | wait 4400, packet                             | no      |
+      | wait 4600, packet                             | yes     |
--- /dev/null
+++ b/tests/features/steps/adapter_steps.py
@@ -0,0 +1,289 @@
+"""Steps on the adapter: heads, stored objects, settings."""
+
+import copy
+import random
+import struct
+
+from behave import then
+from behave import when
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import tomli_w
+
+from liftmount._internal.decisions import forwarding
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.exceptions import LiftmountError
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.exceptions import StoredObjectError
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import Listing
+from liftmount.platform import heads
+from liftmount.platform import objects
+from liftmount.platform import settings
+from liftmount.platform import store
+from tests.features.steps.forwarding_steps import make_entry
+
+PAYLOAD = b'payload'
+# sequence, acknowledgement, length, address, port, client, port, tag, sum,
+# flags, padding
+HEAD_VALUES = (
+    0x11223344,
+    0x55667788,
+    len(PAYLOAD),
+    0xC6336401,
+    8443,
+    0xCB007109,
+    40001,
+    0xCAFEBABE,
+    0xD5C3B2A1,
+    0x82,
+    1,
+)
+HEAD = struct.pack('<IIHIHIHIIBB', *HEAD_VALUES)
+TAG_BYTES = slice(8 + 22, 8 + 26)
+ENTRY = {
+    'backend': 'guide',
+    'address': '127.0.0.1:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'capacity': 3,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'sequence': 4,
+}
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'one',
+            'host': '198.51.100.1',
+            'path_prefix': '/8443/',
+            'type': 'idempotent',
+            'backend': 'guide',
+        },
+        {
+            'name': 'two',
+            'host': '198.51.100.2',
+            'path_prefix': '/8443/',
+            'type': 'download',
+            'weighted_backends': [{'backend': 'guide', 'weight': 90}],
+        },
+    ],
+    'backends': [{'name': 'guide', 'health_check_path': '/health'}],
+    'limits': {'idle_timeout_ms': 15000},
+}
+SETTINGS = {
+    'node_name': 'one',
+    'zone': 'a',
+    'listen': {'packets': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
+    'bounds': {'grace_s': 6, 'max_flow_s': 60},
+    'platform': {'address': '127.0.0.1:3'},
+}
+
+
+@when('a packet with known fields is read')
+def read_packet(context):
+    context.segment = heads.read(HEAD + PAYLOAD)
+
+
+@then('each field of the segment has its value')
+def fields_of_segment(context):
+    segment = context.segment
+    assert segment.sequence == 0x11223344
+    assert segment.acknowledgement == 0x55667788
+    assert segment.length_bytes == len(PAYLOAD)
+    assert segment.address == Endpoint('198.51.100.1', 8443)
+    assert segment.client == Endpoint('203.0.113.9', 40001)
+    assert segment.tag == 0xCAFEBABE
+    assert segment.opens and not segment.closes and not segment.resets
+
+
+@when('a packet with known fields is passed on to target number {number}')
+def pass_on(context, number):
+    context.number = int(number, 16)
+    entry = make_entry('one', 'guide', number=context.number)
+    segment = heads.read(HEAD + PAYLOAD)
+    action = forwarding.Forward(segment, entry, 0x01020304)
+    context.datagram = heads.forwarded(action)
+
+
+@then('eight bytes name the target, and only the tag differs')
+def only_tag_differs(context):
+    found = bytearray(context.datagram)
+    assert found[:8] == context.number.to_bytes(8, 'big')
+    assert found[TAG_BYTES] == b'\x04\x03\x02\x01'
+    found[TAG_BYTES] = HEAD[22:26]
+    assert found[8:] == HEAD + PAYLOAD
+
+
+@when('a flow is refused at acknowledgement {number:d}')
+def refuse_flow(context, number):
+    action = forwarding.Refuse(
+        flow=b'',
+        client=Endpoint('203.0.113.9', 40001),
+        address=Endpoint('198.51.100.1', 8443),
+        sequence=number,
+        reason=forwarding.RefusalReason.NO_ROUTE,
+    )
+    context.reset = struct.unpack('<IIHIHIHIIBB', heads.reset(action))
+
+
+@then('the reset has number {number:d}, no data, no sum and only its own flag')
+def reset_fields(context, number):
+    to_client = (0xCB007109, 40001)
+    from_address = (0xC6336401, 8443)
+    wanted = (number, 0, 0, *to_client, *from_address, 0, 0, 32, 0)
+    assert context.reset == wanted, context.reset
+
+
+@when('{count:d} random datagrams are read as packets')
+def random_datagrams(context, count):
+    rng = random.Random(7)
+    context.kinds = set()
+    for _ in range(count):
+        datagram = rng.randbytes(rng.randrange(0, 80))
+        try:
+            context.kinds.add(type(heads.read(datagram)).__name__)
+        except PacketError:
+            context.kinds.add('PacketError')
+
+
+@then('each became a segment or a PacketError')
+def segment_or_error(context):
+    assert context.kinds == {'Segment', 'PacketError'}, context.kinds
+
+
+def change_document(document, change):
+    """Return a copy with a change such as ``a.0.b = value`` or ``no a``."""
+    changed = copy.deepcopy(document)
+    words = change.split(' ')
+    if change == 'nothing else':
+        return changed
+    if words[0] == 'no':
+        del changed[words[1]]
+        return changed
+    path, _equals, value = change.partition(' = ')
+    *parents, last = path.split('.')
+    inner = changed
+    for key in parents:
+        inner = inner[int(key) if key.isdecimal() else key]
+    if value.startswith('"'):
+        value = value.strip('"')
+    elif value.isdecimal():
+        value = int(value)
+    inner[last] = value
+    return changed
+
+
+def read_or_error(read, *arguments):
+    """Return what was read, or the error that refused it."""
+    try:
+        return read(*arguments)
+    except LiftmountError as error:
+        return error
+
+
+@when('the entry of target {name} has {change}')
+def entry_changed(context, name, change):
+    document = change_document(ENTRY, change)
+    context.result = read_or_error(objects.read_target, name, document)
+
+
+@when('the configuration has {change}')
+def configuration_changed(context, change):
+    document = change_document(CONFIGURATION, change)
+    context.result = read_or_error(objects.read_routes, 'main', document)
+
+
+@then('it is read with number {number:d}')
+def read_with_number(context, number):
+    assert context.result.number == number, context.result
+
+
+@then('it is read as draining')
+def read_as_draining(context):
+    assert context.result.draining, context.result
+
+
+@then('it is read with {count:d} routes in version {version:d}')
+def read_with_routes(context, count, version):
+    assert len(context.result.routes) == count, context.result
+    assert context.result.version == version, context.result
+
+
+@then('it is refused for {field}')
+def refused_for(context, field):
+    assert isinstance(context.result, StoredObjectError), context.result
+    assert context.result.field == field, context.result.field
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                [*ENTRY, *CONFIGURATION, *CONFIGURATION['routes'][0]]
+                + ['meta', 'spec', 'items', 'events', 'object', 'current_rev']
+            ),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=20,
+)
+
+
+@when('{count:d} random documents are read as entries, routes and answers')
+def random_documents(context, count):
+    context.seen = []
+    feed = store.targets_feed(Endpoint('127.0.0.1', 1), None, None)
+    feed._report = context.seen.append
+
+    @hypothesis_settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @given_values(JSON)
+    def check(document):
+        for read in (objects.read_target, objects.read_routes):
+            context.seen.append(read_or_error(read, 'i-1', document))
+        page = document if type(document) is dict else {}
+        for read in (feed.read_list, feed.read_changes):
+            context.seen.append(read_or_error(read, page))
+
+    check()
+
+
+@then('each was read or refused with an error of the project')
+def read_or_refused(context):
+    # Anything else that was raised has failed the step before.
+    kinds = {type(one) for one in context.seen}
+    assert StoredObjectError in kinds, kinds
+    assert kinds & {Listing, Delta, tuple}, kinds
+
+
+@when('the settings have {change}')
+def settings_changed(context, change):
+    document = change_document(SETTINGS, change)
+    context.path = str(context.directory / 'settings.toml')
+    with open(context.path, 'wb') as stream:
+        tomli_w.dump(document, stream)
+    context.result = read_or_error(settings.load_settings, context.path)
+
+
+@then('the settings are read')
+def settings_read(context):
+    assert context.result.store == Endpoint('127.0.0.1', 3), context.result
+
+
+@then('the settings are refused for {problem}')
+def settings_refused(context, problem):
+    assert isinstance(context.result, ConfigurationError), context.result
+    (found,) = context.result.problems
+    assert str(found).startswith(f'{context.path}: {problem}:'), str(found)
--- /dev/null
+++ b/tests/features/steps/beliefs_steps.py
@@ -0,0 +1,160 @@
+"""Steps on beliefs: health of targets, the directory, the store, stops."""
+
+from attrs import evolve
+from behave import then
+from behave import when
+
+from liftmount._internal.decisions import directory
+from liftmount._internal.decisions import following
+from liftmount._internal.decisions import target_health
+from liftmount._internal.decisions.leaving import LeavingState
+from liftmount._internal.decisions.target_health import ProbeResult
+from liftmount._internal.models.ticks import Tick
+from tests.features.steps.forwarding_steps import make_entry
+
+START_MS = 10_000
+STOP_MS = 6_000
+MIDDLE = 0.5
+
+
+def read_events(text):
+    """Yield the words of each event; ``x3`` at its end repeats it."""
+    for part in text.split(', '):
+        words = part.split()
+        times = 1
+        if words[-1].startswith('x'):
+            times = int(words.pop()[1:])
+        for _ in range(times):
+            yield words
+
+
+@when('evidence on a target comes in this order: {events}')
+def evidence(context, events):
+    health = target_health.TargetHealth()
+    now_ms = START_MS
+    context.probes = 0
+    for words in read_events(events):
+        match words:
+            case ['wait', interval]:
+                now_ms += int(interval)
+                continue
+            case ['silent']:
+                event = target_health.TargetSilent('one', now_ms)
+            case ['seen']:
+                event = target_health.TargetSeen('one', now_ms)
+            case ['tick']:
+                event = Tick(now_ms)
+            case ['probe', result]:
+                event = target_health.ProbeEnded(
+                    'one', ProbeResult(result), now_ms
+                )
+        for action in target_health.decide(health, event):
+            is_probe = isinstance(action, target_health.SendProbe)
+            context.probes += is_probe
+    context.health = health
+
+
+@then('{probes:d} probes were sent, and the target is {condition}')
+def target_condition(context, probes, condition):
+    assert context.probes == probes, context.probes
+    assert context.health.is_dead('one') == (condition == 'dead')
+
+
+@when('the store tells in this order: {events}')
+def store_tells(context, events):
+    state = directory.DirectoryState()
+    entry = make_entry('one', 'guide', number=1)
+    now_ms = START_MS
+    context.belief = 'unknown'
+    for revision, words in enumerate(read_events(events), 10):
+        match words:
+            case ['wait', interval]:
+                now_ms += int(interval)
+                event = Tick(now_ms)
+            case ['lost']:
+                event = directory.StoreLost(now_ms)
+            case ['written' | 'draining']:
+                is_draining = words == ['draining']
+                written = (evolve(entry, draining=is_draining),)
+                event = directory.TargetsChanged(written, (), revision, now_ms)
+            case ['removed']:
+                event = directory.TargetsChanged(
+                    (), ('one',), revision, now_ms
+                )
+            case ['listed', 'without']:
+                event = directory.TargetsListed((), revision, now_ms)
+            case ['old', 'list', 'without']:
+                event = directory.TargetsListed((), 1, now_ms)
+        for action in directory.decide(state, event):
+            context.belief = {
+                directory.EntryBelieved: 'believed',
+                directory.EntryDoubted: 'doubted',
+                directory.EntryGone: 'gone',
+            }[type(action)]
+
+
+@then('the target is {belief}')
+def belief_is(context, belief):
+    assert context.belief == belief, context.belief
+
+
+@when('calls end in this order: {events}')
+def calls_end(context, events):
+    state = following.FollowState(jitter=MIDDLE)
+    context.reports = []
+    for words in read_events(events):
+        match words:
+            case ['start']:
+                event = following.Started()
+            case ['listed', revision]:
+                event = following.Listed(int(revision))
+            case ['changed', revision, 'by', count]:
+                event = following.Changed(int(revision), int(count))
+            case ['gone']:
+                event = following.HistoryGone()
+            case ['failed']:
+                event = following.CallFailed('no answer')
+        *reports, context.call = following.decide(state, event)
+        context.reports += reports
+
+
+@then('the next call is {call}')
+def next_call(context, call):
+    found = context.call
+    pause_ms = round(found.after_ms)
+    when_text = f'after {pause_ms} ms' if pause_ms else 'at once'
+    match found:
+        case following.Watch():
+            what = f'watch from {found.revision}'
+        case following.List(may_lag=True):
+            what = 'list that may lag'
+        case following.List():
+            what = 'exact list'
+    assert f'{what} {when_text}' == call, f'{what} {when_text}'
+
+
+@then('the store was lost {lost:d} times and regained {regained:d} times')
+def lost_and_regained(context, lost, regained):
+    kinds = [type(one) for one in context.reports]
+    assert kinds.count(following.DependencyLost) == lost, kinds
+    assert kinds.count(following.DependencyRegained) == regained, kinds
+
+
+@when('a stopping balancer sees: {events}')
+def stopping_sees(context, events):
+    now_ms = START_MS
+    leaving = LeavingState(now_ms, now_ms + STOP_MS)
+    for words in read_events(events):
+        match words:
+            case ['wait', interval]:
+                now_ms += int(interval)
+            case ['refusal']:
+                leaving.refused()
+            case ['packet']:
+                leaving.packet(now_ms)
+    context.may_end = leaving.may_end(now_ms)
+
+
+@then('it may end: {answer}')
+def may_end(context, answer):
+    assert context.may_end == (answer == 'yes')
