Let one member of a failure domain read the store for all

The root of the domain's relay tree now reads, and beats carry changes and the age of what is known down the tree. Who hears no beat for 1.3 s, or only old ones, reads the store itself. Membership is the existing one. A restarted process whose clock stepped back takes a higher incarnation than its predecessor.

--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -18,6 +18,8 @@
 # that fell silent is found after at most this time and the margin, within
 # the 4,000 ms in which an instance is not yet held to its bounds.
 WATCH_MS = 2_800
+# The first watch after a pause asks for what is known by now.
+AT_ONCE_MS = 1
 # How much later than its wait the answer of a watch may come.
 WATCH_MARGIN_MS = 700
 # A list of one page takes 4 ms when the store is well, and 80 times as
@@ -53,6 +55,21 @@
     """The store no longer tells what changed since the revision."""
 
 
+@message
+class Paused(Message):
+    """Somebody else follows the store for us from now on."""
+
+
+@message
+class Resumed(Message):
+    """Follow the store again; what is known is as of ``revision``.
+
+    ``revision`` is None when nothing is known yet.
+    """
+
+    revision: int | None
+
+
 @message
 class CallFailed(Message):
     """A call got no usable answer; ``cause`` says how it failed."""
@@ -74,6 +91,12 @@
 
     after_ms: float
     revision: int
+    wait_ms: int = WATCH_MS
+
+
+@message
+class Rest(Message):
+    """Make no call until told to."""
 
 
 @message
@@ -121,9 +144,23 @@
             return [*_answered(state), List(0, may_lag=False)]
         case CallFailed():
             return _failed(state, event.cause)
+        case Paused():
+            return [Rest()]
+        case Resumed():
+            return [_resume(state, event.revision)]
     raise TypeError(f'unknown event {event!r}')
 
 
+def _resume(state, revision):
+    if revision is not None:
+        state.revision = max(state.revision or 0, revision)
+        state.must_list = False
+    if state.must_list:
+        return List(0, may_lag=state.revision is None)
+    # The first answer has to come at once, to show that all is known.
+    return Watch(0, state.revision, AT_ONCE_MS)
+
+
 def _answered(state):
     if not state.failures:
         return []
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -197,7 +197,8 @@
 class Flow:
     """A flow as this balancer has seen it.
 
-    ``tried`` names the targets that its opening went to.  ``sent`` is the
+    ``tried`` names the targets that its opening went to; ``opening`` is
+    that segment while it may be sent to another one.  ``sent`` is the
     sequence number after the last new byte.  ``resends``
     counts segments sent again without progress since.
     ``is_working`` tells whether a request seems to be under way, since
@@ -597,6 +598,10 @@
         actions += _segment(state, held.segment, now_ms)
         if len(state.held) > before:
             state.held[-1] = held
+        flow = state.flows.get(held.segment.flow)
+        if flow is not None:
+            # Its client may have given up; then no answer means nothing.
+            flow.opening = None
     return [one for one in actions if not isinstance(one, TargetsNeeded)]
 
 
@@ -705,7 +710,7 @@
 
 def _unanswered(state, flow, now_ms):
     """An opening got no answer in time: try another target."""
-    is_waiting = flow.phase is Phase.OPENING
+    is_waiting = flow.phase is Phase.OPENING and flow.opening is not None
     if not is_waiting or state.flows.get(flow.key) is not flow:
         return []
     actions = []
--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -185,6 +185,11 @@
 
 def _about_self(state, member):
     """Refute what others wrongly say of this member."""
+    if member.incarnation > state.own.incarnation:
+        # An earlier process of this name, before its clock stepped back.
+        state.own = evolve(state.own, incarnation=member.incarnation + 1)
+        _spread(state, state.own.name)
+        return []
     if member.incarnation != state.own.incarnation:
         return []
     if not member.newer_than(state.own):
--- /dev/null
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -0,0 +1,325 @@
+"""Who reads the store, and how its news reach the others of a domain.
+
+The root of a failure domain's relay tree reads the store for all; news
+run down the tree in beats, which also tell how old the knowledge is.  A
+member that hears no beat, or only old ones, reads the store itself: it
+may reach the store when it does not reach its peers.  So calls to the
+store grow with the domains, and no single balancer has to be up.
+"""
+
+from attrs import define
+from attrs import Factory
+
+from liftmount._internal.decisions.relay import FANOUT
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.feeds import ROUTES
+from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.knowledge import Beat
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
+from liftmount._internal.models.ticks import Tick
+
+# Beats come this often; a beat is some 60 bytes, to eight children 1.2 KB
+# a second with all overhead.
+BEAT_MS = 400
+# Three beats in a row are missing: the parent is gone, or the way to it.
+SILENT_MS = 1_300
+# Knowledge that the store confirmed longer ago than this is too old.  A
+# reader's watch confirms it every 3,500 ms at the latest; the shortest
+# time from a change to its bound, with the time in which an instance that
+# was cut off is not yet held to it, is 7,000 ms.
+STALE_MS = 4_300
+# Reading ends only when beats are clearly fresher than that.
+FRESH_MS = 3_700
+# Members start to read spread over this time, as all miss the same beat.
+SPREAD_MS = 400
+# A balancer that has just started gives its peers this long to be heard
+# before it watches the store itself.
+SETTLE_MS = 1_000
+# Changes stay in beats for this long, so that one lost beat costs nothing.
+REPEAT_MS = 1_500
+# What a beat may hold of changes: some 90 bytes each, in one datagram.
+MAX_CHANGES = 10
+# Pause between two attempts to get the whole knowledge of a peer.
+PULL_MS = 300
+
+
+@message
+class OrderChanged(Message):
+    """The members of the domain in the order of the relay tree."""
+
+    order: tuple[str, ...]
+
+
+@message
+class BeatArrived(Message):
+    """A beat of a peer arrived."""
+
+    beat: Beat
+    now_ms: int
+
+
+@message
+class StoreAnswered(Message):
+    """Our own call to the store, for one feed, was answered."""
+
+    feed: str
+    news: Listing | Delta
+    now_ms: int
+
+
+@message
+class KnowledgeChanged(Message):
+    """What this balancer holds; revisions and version only grow."""
+
+    targets_revision: int
+    routes_revision: int
+    routes_version: int
+
+
+@message
+class PeerKnows(Message):
+    """A peer of any domain holds another version, and we know little."""
+
+    peer: str
+    now_ms: int
+
+
+@message
+class SendBeat(Message):
+    """Send a beat to the children in the tree."""
+
+    beat: Beat
+    children: tuple[str, ...]
+
+
+@message
+class TakeOver(Message):
+    """Take over news of targets that a beat brought."""
+
+    delta: Delta
+
+
+@message
+class Pull(Message):
+    """Get the whole knowledge of a peer."""
+
+    peer: str
+
+
+@message
+class SetReading(Message):
+    """Begin or end to read the store; ``reason`` says why."""
+
+    is_reading: bool
+    reason: str
+
+
+@define
+class _Change:
+    delta: Delta
+    taken_ms: int
+
+
+@define
+class SpreadState:
+    """Place in the tree, freshness, and the news of late.
+
+    ``confirmed_ms`` is when the store last confirmed what is held, as
+    told by beats; ``read_ms`` the same of our own calls, by feed.
+    """
+
+    name: str
+    started_ms: int
+    spread: float = 0.5
+    order: tuple[str, ...] = ()
+    is_reading: bool = True
+    heard_ms: int = 0
+    confirmed_ms: int = 0
+    read_ms: dict[str, int] = Factory(dict)
+    feeds: tuple[str, ...] = (ROUTES, TARGETS)
+    targets_revision: int = 0
+    routes_revision: int = 0
+    routes_version: int = 0
+    changes: list[_Change] = Factory(list)
+    next_beat_ms: int = 0
+    next_pull_ms: int = 0
+
+    @property
+    def is_root(self) -> bool:
+        """Tell whether this one reads the store for its domain."""
+        return not self.order or self.order[0] == self.name
+
+    def children(self) -> tuple[str, ...]:
+        """Return the members that get beats from this one."""
+        if self.name not in self.order:
+            return ()
+        first = self.order.index(self.name) * FANOUT + 1
+        return self.order[first : first + FANOUT]
+
+    def known_as_of_ms(self) -> int:
+        """Return when the store last confirmed what is held here."""
+        own_ms = min(self.read_ms.get(feed, 0) for feed in self.feeds)
+        return max(self.confirmed_ms, own_ms)
+
+
+def decide(state: SpreadState, event) -> list:
+    """Return the actions for an event."""
+    match event:
+        case OrderChanged():
+            state.order = event.order
+            return []
+        case KnowledgeChanged():
+            return _knowledge(state, event)
+        case StoreAnswered():
+            return _answered(state, event)
+        case BeatArrived():
+            return _beat(state, event.beat, event.now_ms)
+        case PeerKnows():
+            return _pull(state, event.peer, event.now_ms)
+        case Tick():
+            return _tick(state, event.now_ms)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _knowledge(state, event):
+    state.targets_revision = event.targets_revision
+    state.routes_revision = event.routes_revision
+    is_newer = event.routes_version > state.routes_version
+    state.routes_version = event.routes_version
+    if is_newer:
+        # Children pull a new configuration as soon as they hear of it.
+        state.next_beat_ms = 0
+    return []
+
+
+def _answered(state, event):
+    state.read_ms[event.feed] = event.now_ms
+    news = event.news
+    if event.feed == TARGETS:
+        if isinstance(news, Delta):
+            _note_change(state, news, event.now_ms)
+        state.targets_revision = max(state.targets_revision, news.revision)
+        return []
+    state.routes_revision = max(state.routes_revision, news.revision)
+    items = news.items if isinstance(news, Listing) else news.written
+    version = max((one.version for one in items), default=0)
+    if version > state.routes_version:
+        state.routes_version = version
+        state.next_beat_ms = 0
+    return []
+
+
+def _note_change(state, delta, now_ms):
+    state.changes.append(_Change(delta, now_ms))
+    if delta.written or delta.removed:
+        state.next_beat_ms = 0
+
+
+def _beat(state, beat, now_ms):
+    state.heard_ms = now_ms
+    is_behind = beat.routes_version > state.routes_version
+    if beat.routes_version == state.routes_version:
+        state.routes_revision = max(
+            state.routes_revision, beat.routes_revision
+        )
+    actions = []
+    if beat.targets_revision > state.targets_revision:
+        if state.targets_revision >= beat.base:
+            delta = Delta(
+                beat.written,
+                beat.removed,
+                beat.targets_revision,
+                beat.base,
+            )
+            _note_change(state, delta, now_ms)
+            state.targets_revision = beat.targets_revision
+            actions.append(TakeOver(delta))
+        else:
+            is_behind = True
+    if not is_behind:
+        confirmed_ms = now_ms - beat.age_ms
+        state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
+        return actions
+    return [*actions, *_pull(state, beat.sender, now_ms)]
+
+
+def _pull(state, peer, now_ms):
+    if now_ms < state.next_pull_ms:
+        return []
+    state.next_pull_ms = now_ms + PULL_MS
+    return [Pull(peer)]
+
+
+def _tick(state, now_ms):
+    actions = _choose_reading(state, now_ms)
+    if now_ms >= state.next_beat_ms:
+        state.next_beat_ms = now_ms + BEAT_MS
+        children = state.children()
+        if children:
+            actions.append(SendBeat(make_beat(state, now_ms), children))
+    return actions
+
+
+def _choose_reading(state, now_ms):
+    wanted, reason = _wants_reading(state, now_ms)
+    if wanted == state.is_reading:
+        return []
+    state.is_reading = wanted
+    return [SetReading(wanted, reason)]
+
+
+def _wants_reading(state, now_ms):
+    if state.is_root:
+        return True, 'root'
+    pause_ms = state.spread * SPREAD_MS
+    heard_ms = max(state.heard_ms, state.started_ms)
+    if now_ms - heard_ms > SILENT_MS + pause_ms:
+        return True, 'no beat'
+    age_ms = now_ms - state.known_as_of_ms()
+    if now_ms - state.started_ms < STALE_MS:
+        return False, 'started of late'
+    if age_ms > STALE_MS + pause_ms:
+        return True, 'old beats'
+    beat_age_ms = now_ms - state.confirmed_ms
+    if state.is_reading and beat_age_ms > FRESH_MS:
+        return True, 'old beats'
+    return False, 'fresh beats'
+
+
+def make_beat(state: SpreadState, now_ms: int) -> Beat:
+    """Return the beat to send now, with the changes of late."""
+    state.changes = [
+        one for one in state.changes if now_ms - one.taken_ms <= REPEAT_MS
+    ]
+    base, written, removed = _merge(state.changes)
+    if len(written) + len(removed) > MAX_CHANGES:
+        # Too much for a datagram: whoever is behind gets all of it.
+        base, written, removed = None, (), ()
+    return Beat(
+        sender=state.name,
+        age_ms=max(0, now_ms - state.known_as_of_ms()),
+        base=state.targets_revision if base is None else base,
+        targets_revision=state.targets_revision,
+        routes_revision=state.routes_revision,
+        routes_version=state.routes_version,
+        written=written,
+        removed=removed,
+    )
+
+
+def _merge(changes):
+    """Return one change that leads from the first base to the last."""
+    base = None
+    latest = {}
+    for one in changes:
+        delta = one.delta
+        base = delta.base if base is None else min(base, delta.base)
+        for entry in delta.written:
+            latest[entry.name] = entry
+        for name in delta.removed:
+            latest[name] = None
+    written = tuple(one for one in latest.values() if one is not None)
+    removed = tuple(name for name, one in latest.items() if one is None)
+    return base, written, removed
--- a/src/liftmount/_internal/kernel.py
+++ b/src/liftmount/_internal/kernel.py
@@ -66,6 +66,7 @@
     clock: Clock
     services: dict[str, Service] = Factory(dict)
     streams: dict = Factory(dict)
+    _tasks: asyncio.TaskGroup | None = None
 
     def register(self, service: Service) -> None:
         """Make a service known under its name."""
@@ -91,12 +92,19 @@
             self.streams[name] = ReplaySubject(1)
         return self.streams[name]
 
+    async def add(self, service: Service) -> None:
+        """Start one more service while the others run."""
+        await service.start()
+        self.register(service)
+        self._tasks.create_task(service.run(), name=service.name)
+
     async def run(self) -> None:
         """Start all services and run them until one fails or cancelled."""
         try:
             for service in self.services.values():
                 await service.start()
             async with asyncio.TaskGroup() as group:
+                self._tasks = group
                 for service in self.services.values():
                     group.create_task(service.run(), name=service.name)
         finally:
--- a/src/liftmount/_internal/models/feeds.py
+++ b/src/liftmount/_internal/models/feeds.py
@@ -2,6 +2,12 @@
 
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import TargetEntry
+
+# The two kinds of objects that are followed.
+ROUTES = 'routes'
+TARGETS = 'targets'
 
 
 @message
@@ -14,8 +20,19 @@
 
 @message
 class Delta(Message):
-    """Objects written and names removed up to ``revision``, in order."""
+    """Objects written and names removed from ``base`` to ``revision``."""
 
     written: tuple
     removed: tuple[str, ...]
     revision: int
+    base: int = 0
+
+
+@message
+class Knowledge(Message):
+    """All targets and routes, each as of a revision of the store."""
+
+    targets: tuple[TargetEntry, ...]
+    targets_revision: int
+    table: RouteTable | None
+    routes_revision: int
--- /dev/null
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -0,0 +1,189 @@
+"""What balancers tell each other of routes and targets, and its wire form.
+
+All is CBOR.  A beat fits into a datagram; the whole knowledge goes over a
+connection, compressed, as a configuration of hundreds of routes repeats
+itself.
+"""
+
+import zlib
+
+import cbor2
+
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.feeds import Knowledge
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.models.segments import TargetEntry
+
+BEAT_MARK = 3
+# Knowledge of 27,000 targets takes about 2 MB before it is compressed.
+MAX_KNOWLEDGE_BYTES = 64 * 1_048_576
+
+
+@message
+class Beat(Message):
+    """How fresh the sender's knowledge is, and what changed of late.
+
+    ``age_ms`` is the time since the store last confirmed it.  What was
+    ``written`` and ``removed`` leads from any revision of targets at or
+    after ``base`` to ``targets_revision``.
+    """
+
+    sender: str
+    age_ms: int
+    base: int
+    targets_revision: int
+    routes_revision: int
+    routes_version: int
+    written: tuple[TargetEntry, ...]
+    removed: tuple[str, ...]
+
+
+def encode_beat(beat: Beat) -> bytes:
+    """Return the wire form of a beat."""
+    return cbor2.dumps(
+        [
+            BEAT_MARK,
+            beat.sender,
+            beat.age_ms,
+            beat.base,
+            beat.targets_revision,
+            beat.routes_revision,
+            beat.routes_version,
+            [_encode_target(one) for one in beat.written],
+            list(beat.removed),
+        ]
+    )
+
+
+def is_beat(datagram: bytes) -> bool:
+    """Tell whether a datagram of a peer is a beat."""
+    return len(datagram) > 1 and datagram[1] == BEAT_MARK
+
+
+def decode_beat(datagram: bytes) -> Beat:
+    """Read a beat; raises PacketError on anything else."""
+    try:
+        _mark, sender, *numbers, written, removed = cbor2.loads(datagram)
+        age_ms, base, targets_revision, routes_revision, version = map(
+            int, numbers
+        )
+        return Beat(
+            sender=str(sender),
+            age_ms=age_ms,
+            base=base,
+            targets_revision=targets_revision,
+            routes_revision=routes_revision,
+            routes_version=version,
+            written=tuple(_decode_target(one) for one in written),
+            removed=tuple(map(str, removed)),
+        )
+    except Exception as error:
+        # The library raises whatever the bytes make it stumble over.
+        raise PacketError(f'not a beat: {error}') from error
+
+
+def encode_knowledge(knowledge: Knowledge) -> bytes:
+    """Return the wire form of all knowledge."""
+    table = knowledge.table
+    document = [
+        [_encode_target(one) for one in knowledge.targets],
+        knowledge.targets_revision,
+        None if table is None else _encode_table(table),
+        knowledge.routes_revision,
+    ]
+    return zlib.compress(cbor2.dumps(document), 1)
+
+
+def decode_knowledge(data: bytes) -> Knowledge:
+    """Read all knowledge; raises PacketError on anything else."""
+    try:
+        unpacker = zlib.decompressobj()
+        document = unpacker.decompress(data, MAX_KNOWLEDGE_BYTES)
+        targets, targets_revision, table, routes_revision = cbor2.loads(
+            document
+        )
+        return Knowledge(
+            targets=tuple(_decode_target(one) for one in targets),
+            targets_revision=int(targets_revision),
+            table=None if table is None else _decode_table(table),
+            routes_revision=int(routes_revision),
+        )
+    except Exception as error:
+        # The libraries raise whatever the bytes make them stumble over.
+        raise PacketError(f'not knowledge: {error}') from error
+
+
+def _encode_target(entry):
+    return [
+        entry.name,
+        entry.number,
+        entry.service,
+        str(entry.endpoint),
+        entry.failure_domain,
+        entry.slots,
+        entry.draining,
+        entry.warm_up_ms,
+    ]
+
+
+def _decode_target(fields):
+    name, number, service, endpoint, domain, slots, draining, warm = fields
+    return TargetEntry(
+        name=str(name),
+        number=int(number),
+        service=str(service),
+        endpoint=parse_endpoint(endpoint),
+        failure_domain=str(domain),
+        slots=int(slots),
+        draining=bool(draining),
+        warm_up_ms=int(warm),
+    )
+
+
+def _encode_table(table):
+    routes = [
+        [
+            one.name,
+            str(one.address),
+            one.kind.value,
+            [[share.service, share.weight] for share in one.shares],
+            one.priority,
+            one.objective_ms,
+        ]
+        for one in table.routes.values()
+    ]
+    return [table.version, routes, table.health_paths, table.idle_limit_ms]
+
+
+def _decode_table(fields):
+    version, routes, health_paths, idle_limit_ms = fields
+    decoded = [_decode_route(one) for one in routes]
+    return RouteTable(
+        version=int(version),
+        routes={one.address: one for one in decoded},
+        health_paths={
+            str(name): str(path) for name, path in health_paths.items()
+        },
+        idle_limit_ms=int(idle_limit_ms),
+    )
+
+
+def _decode_route(fields):
+    name, address, kind, shares, priority, objective_ms = fields
+    return Route(
+        name=str(name),
+        address=parse_endpoint(address),
+        kind=RouteKind(kind),
+        shares=tuple(
+            ServiceShare(str(service), int(weight))
+            for service, weight in shares
+        ),
+        priority=int(priority),
+        objective_ms=int(objective_ms),
+    )
--- a/src/liftmount/_internal/services/feeds.py
+++ b/src/liftmount/_internal/services/feeds.py
@@ -9,33 +9,76 @@
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
+
+
+@message
+class FeedNews(Message):
+    """A call of a feed was answered."""
+
+    feed: str
+    news: Listing | Delta
+
+
+@message
+class FeedFailed(Message):
+    """A call of a feed got no usable answer."""
+
+    feed: str
+    cause: str
 
 
 class FeedService(Service):
-    """Owns one feed and posts its Listing and Delta to a service.
+    """Owns one feed and posts FeedNews and FeedFailed to its listeners.
 
     ``feed`` has ``fetch(may_lag, timeout_ms)`` and ``watch(revision,
     wait_ms, timeout_ms)``, which raise PlatformError.
     """
 
-    def __init__(self, kernel, name, feed, listener, log, jitter):
+    def __init__(self, kernel, name, feed, listeners, log, jitter):
         super().__init__(kernel)
         self.name = name
         self.feed = feed
-        self.listener = listener
+        self.listeners = listeners
         self.log = log
         self.state = following.FollowState(jitter=jitter)
+        self._call_task = None
+        self._resting = False
 
     async def run(self):
-        """Make one call after the other until cancelled."""
-        event = following.Started()
-        while True:
-            for action in following.decide(self.state, event):
-                match action:
-                    case following.List() | following.Watch():
-                        event = await self._call(action)
-                    case _:
-                        self._report(action)
+        """Make one call after the other, until told to pause."""
+        self._next(following.Started())
+        await super().run()
+
+    def handle(self, message):
+        """Pause or resume."""
+        match message:
+            case following.Paused():
+                self._resting = True
+                self._cancel()
+            case following.Resumed() if self._resting:
+                self._resting = False
+                self._cancel()
+                self._next(message)
+            case following.Resumed():
+                pass
+            case _:
+                super().handle(message)
+
+    def _cancel(self):
+        if self._call_task is not None:
+            self._call_task.cancel()
+        self._call_task = None
+
+    def _next(self, event):
+        for action in following.decide(self.state, event):
+            match action:
+                case following.List() | following.Watch():
+                    task = asyncio.create_task(self._call(action))
+                    self._call_task = task
+                case _:
+                    self._report(action)
 
     def _report(self, action):
         match action:
@@ -49,6 +92,10 @@
     async def _call(self, action):
         if action.after_ms:
             await asyncio.sleep(seconds(action.after_ms))
+        event = await self._make_call(action)
+        self._next(event)
+
+    async def _make_call(self, action):
         try:
             if isinstance(action, following.List):
                 return await self._list(action)
@@ -59,29 +106,31 @@
             )
             return following.HistoryGone()
         except PlatformError as error:
-            self.kernel.post(self.listener, following.CallFailed(str(error)))
+            self._post(FeedFailed(self.name, str(error)))
             return following.CallFailed(str(error))
 
     async def _list(self, action):
         listing = await self.feed.fetch(
             action.may_lag, following.LIST_TIMEOUT_MS
         )
-        self._publish(listing)
+        self._post(FeedNews(self.name, listing))
         return following.Listed(listing.revision)
 
     async def _watch(self, action):
-        wait_ms = following.WATCH_MS
         delta = await self.feed.watch(
-            action.revision, wait_ms, wait_ms + following.WATCH_MARGIN_MS
+            action.revision,
+            action.wait_ms,
+            action.wait_ms + following.WATCH_MARGIN_MS,
         )
+        self._post(FeedNews(self.name, delta))
         count = len(delta.written) + len(delta.removed)
-        if count:
-            self._publish(delta)
         return following.Changed(delta.revision, count)
 
-    def _publish(self, message: Listing | Delta):
-        self.kernel.post(self.listener, message)
+    def _post(self, message):
+        for listener in self.listeners:
+            self.kernel.post(listener, message)
 
     async def stop(self):
         """Close the connection."""
+        self._cancel()
         self.feed.close()
--- /dev/null
+++ b/src/liftmount/_internal/services/group.py
@@ -0,0 +1,338 @@
+"""The balancers of a deployment: who is there, and what they tell."""
+
+import asyncio
+import secrets
+
+from attrs import frozen
+
+from liftmount._internal.clock import seconds
+from liftmount._internal.decisions import following
+from liftmount._internal.decisions import membership
+from liftmount._internal.decisions import spreading
+from liftmount._internal.decisions.relay import relay_order
+from liftmount._internal.exceptions import HttpError
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.kernel import Service
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.envelopes import decode_peer
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.feeds import ROUTES
+from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.identity import make_incarnation
+from liftmount._internal.models.identity import RANDOM_BITS
+from liftmount._internal.models.knowledge import decode_beat
+from liftmount._internal.models.knowledge import decode_knowledge
+from liftmount._internal.models.knowledge import encode_beat
+from liftmount._internal.models.knowledge import encode_knowledge
+from liftmount._internal.models.knowledge import is_beat
+from liftmount._internal.models.members import Member
+from liftmount._internal.models.members import MemberStatus
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.ticks import Tick
+from liftmount._internal.network.http import HttpAnswer
+from liftmount._internal.network.http import HttpConnection
+from liftmount._internal.network.http import HttpServer
+from liftmount._internal.network.udp import UdpSocket
+from liftmount._internal.services.feeds import FeedFailed
+from liftmount._internal.services.feeds import FeedNews
+
+TICK_MS = 50
+KNOWLEDGE_PATH = '/knowledge'
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+# A configuration of hundreds of routes is some 10 KB when compressed; on
+# a link of 5 Mbit/s with eight askers that is 0.2 s.
+PULL_TIMEOUT_MS = 1_500
+# Failed calls in a row before another member shall read the store.
+FAILURES_TO_YIELD = 2
+# Knowledge this old is also taken from other domains.
+CUT_OFF_MS = 5_000
+FAREWELLS = 3
+VERSION_BYTES = 8
+
+
+@frozen
+class GroupOptions:
+    """Who this balancer is, and where it meets the others."""
+
+    name: str
+    failure_domain: str
+    peer: Endpoint
+    seeds: tuple[Endpoint, ...]
+    spread: float
+
+
+class GroupService(Service):
+    """Owns the sockets between balancers, membership and the relay.
+
+    ``packets`` gives and takes knowledge, ``feeds`` read the store.
+    """
+
+    name = 'group'
+
+    def __init__(self, kernel, options, packets, feeds, log, counters):
+        super().__init__(kernel)
+        self.options = options
+        self.packets = packets
+        self.feeds = feeds
+        self.log = log
+        self.counters = counters
+        self.socket = None
+        self.members = None
+        self.spread = spreading.SpreadState(
+            options.name, self.clock.now_ms(), options.spread
+        )
+        self._server = HttpServer(self._answer)
+        self._failures = 0
+        self._pulls = set()
+
+    # Sockets.
+
+    async def start(self):
+        """Bind the sockets and look for the others."""
+        options = self.options
+        now_ms = self.clock.now_ms()
+        self.socket = await UdpSocket.bind(options.peer, self._on_datagram)
+        await self._server.start(options.peer)
+        incarnation = make_incarnation(
+            self.clock.wall_ms(), secrets.randbits(RANDOM_BITS)
+        )
+        own = Member(
+            name=options.name,
+            failure_domain=options.failure_domain,
+            peer=options.peer,
+            control=options.peer,
+            incarnation=incarnation,
+        )
+        self.members = membership.make_membership(
+            own, membership.MembershipTimes(), options.seeds, now_ms
+        )
+        self._note_knowledge()
+        for feed in self.feeds:
+            feed.listeners.append(self.name)
+
+    async def stop(self):
+        """Close the sockets."""
+        self._server.close()
+        if self.socket is not None:
+            self.socket.close()
+
+    async def run(self):
+        """Handle messages and let time pass."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run())
+            group.create_task(self._tick_forever())
+
+    async def _tick_forever(self):
+        while True:
+            tick = Tick(self.clock.now_ms())
+            self._execute(membership.decide(self.members, tick))
+            self._execute(spreading.decide(self.spread, tick))
+            await asyncio.sleep(seconds(TICK_MS))
+
+    def _on_datagram(self, data, source):
+        now_ms = self.clock.now_ms()
+        try:
+            if is_beat(data):
+                event = spreading.BeatArrived(decode_beat(data), now_ms)
+                self._execute(spreading.decide(self.spread, event))
+                return
+            event = membership.MessageArrived(
+                decode_peer(data), Endpoint(*source[:2]), now_ms
+            )
+            self._execute(membership.decide(self.members, event))
+        except PacketError:
+            self.counters.count('refused.malformed_peer_message')
+
+    def _answer(self, path):
+        if path != KNOWLEDGE_PATH:
+            return HttpAnswer(HTTP_NOT_FOUND, b'', {})
+        self.counters.count('knowledge_given')
+        data = encode_knowledge(self.packets.knowledge())
+        return HttpAnswer(HTTP_OK, data, {})
+
+    # Messages.
+
+    def handle(self, message):
+        """Take note of what our own feeds read."""
+        match message:
+            case FeedNews(feed, news):
+                self._failures = 0
+                self._announce(has_platform=True)
+                event = spreading.StoreAnswered(
+                    feed, news, self.clock.now_ms()
+                )
+                self._execute(spreading.decide(self.spread, event))
+                self._note_version()
+            case FeedFailed():
+                self._failures += 1
+                if self._failures == FAILURES_TO_YIELD:
+                    self._announce(has_platform=False)
+            case _:
+                super().handle(message)
+
+    def leave(self):
+        """Tell the others that a planned stop has begun."""
+        self._announce(leaving=True)
+
+    def say_farewell(self):
+        """Tell a few members at once that this one has left."""
+        self._announce(status=MemberStatus.LEFT)
+        for member in self.members.reachable()[:FAREWELLS]:
+            self._execute(membership.farewell(self.members, member))
+
+    def _announce(self, **changes):
+        own = self.members.own
+        if all(getattr(own, key) == value for key, value in changes.items()):
+            return
+        membership.announce(self.members, **changes)
+        self._reorder()
+
+    def _reorder(self):
+        domain = self.options.failure_domain
+        others = self.members.members.values()
+        near = [one for one in others if one.failure_domain == domain]
+        order = tuple(relay_order([self.members.own, *near]))
+        if order != self.spread.order:
+            spreading.decide(self.spread, spreading.OrderChanged(order))
+            self.log.write(
+                self.name, 'order', members=len(order), root=order[0]
+            )
+
+    def _note_knowledge(self):
+        table = self.packets.state.table
+        event = spreading.KnowledgeChanged(
+            self.packets.directory.revision,
+            self.packets.routes_revision,
+            table.version if table else 0,
+        )
+        spreading.decide(self.spread, event)
+        self._note_version()
+
+    def _note_version(self):
+        version = self.spread.routes_version
+        self.members.digest = version.to_bytes(VERSION_BYTES, 'big')
+
+    # Actions.
+
+    def _execute(self, actions):
+        for action in actions:
+            match action:
+                case membership.SendDatagram():
+                    self._send(action.datagram, action.destination)
+                case membership.MemberChanged(member):
+                    self._member_changed(member)
+                case membership.DigestDiffers(member):
+                    self._ask_other_domain(member)
+                case membership.BudgetSpent():
+                    self.counters.count('refused.control_budget_spent')
+                case spreading.SendBeat():
+                    self._send_beat(action)
+                case spreading.TakeOver(delta):
+                    self.packets.post(FeedNews(TARGETS, delta))
+                case spreading.Pull(peer):
+                    self._pull(peer)
+                case spreading.SetReading():
+                    self._set_reading(action)
+
+    def _send(self, datagram, destination):
+        self.counters.count('control_bytes', len(datagram))
+        self.socket.send(datagram, destination.socket_address())
+
+    def _member_changed(self, member):
+        self.log.write(
+            self.name,
+            'member',
+            member=member.name,
+            status=member.status.name.lower(),
+            has_platform=member.has_platform,
+            leaving=member.leaving,
+        )
+        self._reorder()
+
+    def _send_beat(self, action):
+        datagram = encode_beat(action.beat)
+        for name in action.children:
+            member = self.members.members.get(name)
+            if member is not None:
+                self._send(datagram, member.peer)
+
+    def _set_reading(self, action):
+        self.log.write(
+            self.name,
+            'reading' if action.is_reading else 'not_reading',
+            reason=action.reason,
+            root=self.spread.order[0] if self.spread.order else '',
+            known_ms=self.clock.now_ms() - self.spread.known_as_of_ms(),
+        )
+        # What the packet path holds, not what is on its way there: a watch
+        # from too late a revision would never tell what lies between.
+        known = self.packets.knowledge()
+        revisions = {
+            TARGETS: known.targets_revision,
+            ROUTES: known.routes_revision,
+        }
+        for feed in self.feeds:
+            if action.is_reading:
+                revision = revisions[feed.name] or None
+                self.kernel.post(feed.name, following.Resumed(revision))
+            else:
+                self.kernel.post(feed.name, following.Paused())
+
+    def _ask_other_domain(self, member):
+        now_ms = self.clock.now_ms()
+        age_ms = now_ms - self.spread.known_as_of_ms()
+        is_young = not self.packets.state.is_complete
+        if is_young or age_ms > CUT_OFF_MS:
+            event = spreading.PeerKnows(member.name, now_ms)
+            self._execute(spreading.decide(self.spread, event))
+
+    def _pull(self, peer):
+        member = self.members.members.get(peer)
+        if member is None:
+            return
+        task = asyncio.create_task(self._fetch(member))
+        self._pulls.add(task)
+        task.add_done_callback(self._pulls.discard)
+
+    async def _fetch(self, member):
+        connection = HttpConnection(member.control)
+        try:
+            answer = await connection.request(
+                'GET', KNOWLEDGE_PATH, PULL_TIMEOUT_MS
+            )
+            knowledge = decode_knowledge(answer.body)
+        except (HttpError, PacketError) as error:
+            self.counters.count('retried.pull_failed')
+            self.log.write(
+                self.name, 'pull_failed', peer=member.name, cause=str(error)
+            )
+            return
+        finally:
+            connection.close()
+        self._take(member, knowledge)
+
+    def _take(self, member, knowledge):
+        self.log.write(
+            self.name,
+            'pulled',
+            peer=member.name,
+            targets_revision=knowledge.targets_revision,
+            version=knowledge.table.version if knowledge.table else None,
+        )
+        if knowledge.table is not None:
+            table: RouteTable = knowledge.table
+            listing = Listing((table,), knowledge.routes_revision)
+            self.packets.post(FeedNews(ROUTES, listing))
+        if knowledge.targets:
+            listing = Listing(knowledge.targets, knowledge.targets_revision)
+            self.packets.post(FeedNews(TARGETS, listing))
+        event = spreading.KnowledgeChanged(
+            max(self.spread.targets_revision, knowledge.targets_revision),
+            max(self.spread.routes_revision, knowledge.routes_revision),
+            max(
+                self.spread.routes_version,
+                knowledge.table.version if knowledge.table else 0,
+            ),
+        )
+        spreading.decide(self.spread, event)
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -6,17 +6,18 @@
 
 from liftmount._internal.clock import seconds
 from liftmount._internal.decisions import directory
-from liftmount._internal.decisions import following
 from liftmount._internal.decisions import forwarding
 from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.addresses import Endpoint
-from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import Listing
-from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.ticks import Tick
+from liftmount._internal.services.feeds import FeedFailed
+from liftmount._internal.services.feeds import FeedNews
 from liftmount._internal.services.probes import probe
 
 TICK_MS = 20
@@ -45,6 +46,7 @@
         self._probes = set()
         self.leaving: LeavingState | None = None
         self.directory = directory.DirectoryState()
+        self.routes_revision = 0
         self.state = forwarding.ForwardingState(
             options.failure_domain,
             options.flow_max_age_ms,
@@ -126,31 +128,40 @@
         """Take over what a feed tells."""
         now_ms = self.clock.now_ms()
         match message:
-            case Listing() | Delta():
+            case FeedNews():
                 self._take(message, now_ms)
-            case following.CallFailed():
+            case FeedFailed():
                 lost = directory.StoreLost(now_ms)
                 directory.decide(self.directory, lost)
             case _:
                 super().handle(message)
 
     def _take(self, message, now_ms):
-        items = message.items if isinstance(message, Listing) else None
-        items = message.written if items is None else items
-        tables = [one for one in items if isinstance(one, RouteTable)]
-        if tables:
-            self._take_routes(tables[-1], now_ms)
-        elif isinstance(message, Listing):
-            event = directory.TargetsListed(
-                message.items, message.revision, now_ms
-            )
+        news = message.news
+        is_listing = isinstance(news, Listing)
+        items = news.items if is_listing else news.written
+        if message.feed == ROUTES:
+            for table in items:
+                self._take_routes(table, now_ms)
+            self.routes_revision = max(self.routes_revision, news.revision)
+        elif is_listing:
+            event = directory.TargetsListed(items, news.revision, now_ms)
             self._settle(directory.decide(self.directory, event), now_ms)
         else:
             event = directory.TargetsChanged(
-                message.written, message.removed, message.revision, now_ms
+                items, news.removed, news.revision, now_ms
             )
             self._settle(directory.decide(self.directory, event), now_ms)
 
+    def knowledge(self) -> Knowledge:
+        """Return all that is known, with the revisions that go with it."""
+        return Knowledge(
+            targets=tuple(self.directory.entries.values()),
+            targets_revision=self.directory.revision,
+            table=self.state.table,
+            routes_revision=self.routes_revision,
+        )
+
     def _settle(self, actions, now_ms):
         self._believe(actions)
         event = forwarding.TargetsSettled(now_ms)
--- a/src/liftmount/platform/daemon.py
+++ b/src/liftmount/platform/daemon.py
@@ -29,6 +29,12 @@
 STATUS_USAGE = 2
 FLUSH_MS = 200
 CHECK_MS = 50
+# How long a start waits for the store before it looks for peers.
+SERVE_FIRST_MS = 400
+# How long a balancer that found the store serves before it looks for peers;
+# the imports take a tenth of a second on a small instance.
+SERVE_ALONE_MS = 1_000
+FEEDS = ('routes', 'targets')
 # What must be left of the time for a planned stop when the process ends.
 STOP_MARGIN_MS = 800
 
@@ -55,11 +61,36 @@
     )
     for name, feed in feeds:
         kernel.register(
-            FeedService(kernel, name, feed, packets.name, log, jitter)
+            FeedService(kernel, name, feed, [packets.name], log, jitter)
         )
     return kernel
 
 
+async def join_group(kernel, settings: EntrySettings, log, metrics) -> None:
+    """Meet the other balancers, once this one serves or can't."""
+    packets = kernel.lookup('packets')
+    until_ms = kernel.clock.now_ms() + SERVE_FIRST_MS
+    while not packets.state.is_complete and kernel.clock.now_ms() < until_ms:
+        await asyncio.sleep(seconds(CHECK_MS))
+    if packets.state.is_complete:
+        # What waited for us is served before anything else is imported.
+        await asyncio.sleep(seconds(SERVE_ALONE_MS))
+    from liftmount._internal.services.group import GroupOptions
+    from liftmount._internal.services.group import GroupService
+
+    options = GroupOptions(
+        name=settings.name,
+        failure_domain=settings.failure_domain,
+        peer=settings.peer,
+        seeds=settings.seeds,
+        spread=crc32(settings.name.encode()) / 2**32,
+    )
+    feeds = [kernel.lookup(name) for name in FEEDS]
+    await kernel.add(
+        GroupService(kernel, options, packets, feeds, log, metrics)
+    )
+
+
 async def run(settings: EntrySettings, path: str, bound) -> None:
     """Serve until a planned stop is complete."""
     metrics = Metrics()
@@ -72,12 +103,13 @@
         loop.add_signal_handler(number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, path, log)
     running = asyncio.create_task(kernel.run())
+    joining = asyncio.create_task(join_group(kernel, settings, log, metrics))
     flushing = asyncio.create_task(_flush_forever(log))
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
     if not running.done():
         await _leave(kernel, settings, log)
-    for task in (running, flushing, stopped):
+    for task in (running, joining, flushing, stopped):
         task.cancel()
     results = await asyncio.gather(running, return_exceptions=True)
     log.write('process', 'stop', cause=repr(results[0]))
@@ -91,9 +123,14 @@
     log.write('process', 'stopping')
     packets = kernel.lookup('packets')
     now_ms = kernel.clock.now_ms()
+    group = kernel.services.get('group')
+    if group is not None:
+        group.leave()
     packets.leave(now_ms + settings.stop_ms - STOP_MARGIN_MS)
     while not packets.leaving.may_end(kernel.clock.now_ms()):
         await asyncio.sleep(seconds(CHECK_MS))
+    if group is not None:
+        group.say_farewell()
     forwarded_ms = kernel.clock.now_ms() - now_ms
     log.write('process', 'left', forwarded_ms=forwarded_ms)
 
--- a/src/liftmount/platform/objects.py
+++ b/src/liftmount/platform/objects.py
@@ -65,6 +65,24 @@
             for index, one in enumerate(value)
         ]
 
+    def numbers(self, field: str) -> list[int]:
+        """Return a list of at least one number."""
+        value = self._document.get(field)
+        is_list = type(value) is list and len(value) > 0
+        if not is_list or not all(type(one) is int for one in value):
+            raise self.error(field, 'expected a list of numbers')
+        return value
+
+    def endpoints(self, field: str) -> list[Endpoint]:
+        """Return a list of addresses with ports, maybe none."""
+        value = self._document.get(field, [])
+        if type(value) is not list:
+            raise self.error(field, 'expected a list of addresses')
+        try:
+            return [parse_endpoint(str(one)) for one in value]
+        except ValueError as error:
+            raise self.error(field, str(error)) from error
+
     def part(self, field: str):
         """Return the fields of a document inside."""
         value = self._document.get(field, {})
--- a/src/liftmount/platform/settings.py
+++ b/src/liftmount/platform/settings.py
@@ -18,7 +18,9 @@
     """What one balancer is told about itself and its surroundings.
 
     ``packets`` takes datagrams; clients get resets at its port number.
-    ``stop_ms`` is how long a planned stop may take.
+    ``peer`` is for other balancers, over UDP and TCP; ``seeds`` are such
+    addresses of a few of them.  ``stop_ms`` is how long a planned stop
+    may take.
     """
 
     name: str
@@ -26,6 +28,8 @@
     packets: Endpoint
     readiness: Endpoint
     store: Endpoint
+    peer: Endpoint
+    seeds: tuple[Endpoint, ...]
     flow_max_age_ms: int
     stop_ms: int
 
@@ -50,13 +54,20 @@
 
 def _read(fields):
     listen = fields.part('listen')
+    packets = listen.endpoint('packets')
+    # The first of the ports that are kept free for us, alike everywhere.
+    port = fields.numbers('ephemeral_ports')[0]
+    # Seeds come as other addresses of the same machines.
+    seeds = [Endpoint(one.ip, port) for one in fields.endpoints('seeds')]
     bounds = fields.part('bounds')
     return EntrySettings(
         name=fields.text('node_name'),
         failure_domain=fields.text('zone'),
-        packets=listen.endpoint('packets'),
+        packets=packets,
         readiness=listen.endpoint('ready'),
         store=fields.part('platform').endpoint('address'),
+        peer=Endpoint(packets.ip, port),
+        seeds=tuple(seeds),
         flow_max_age_ms=bounds.number('max_flow_s') * MS_PER_S,
         stop_ms=bounds.number('grace_s') * MS_PER_S,
     )
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -73,9 +73,10 @@
         Raises HistoryGoneError when the store forgot what lies between.
         """
         query = f'?watch={revision}&wait_ms={wait_ms}'
-        return self.read_changes(await self._call(query, timeout_ms))
+        page = await self._call(query, timeout_ms)
+        return self.read_changes(page, revision)
 
-    def read_changes(self, page: dict) -> Delta:
+    def read_changes(self, page: dict, base: int = 0) -> Delta:
         """Read the answer of a watch; raises PlatformError."""
         events = [_event(one) for one in _list(page, 'events')]
         # Only the last state of each object matters.
@@ -83,7 +84,10 @@
         written = [one for one in latest.values() if not one.is_gone]
         removed = [one.name for one in latest.values() if one.is_gone]
         return Delta(
-            tuple(self._decode(written)), tuple(removed), _revision(page)
+            tuple(self._decode(written)),
+            tuple(removed),
+            _revision(page),
+            base,
         )
 
     def close(self) -> None:
--- a/tests/features/decisions/forwarding.feature
+++ b/tests/features/decisions/forwarding.feature
@@ -94,6 +94,14 @@
     And it learns targets and routes
     Then each target of guide in domain a has at least 2 of the flows
 
+  Scenario: An opening that waited gives no evidence and is not sent again
+    Given a balancer in domain a that knows nothing yet
+    When client 1 opens a flow to 198.51.0.1:8443
+    And it learns targets and routes
+    And 300 ms pass
+    Then the opening of client 1 was sent 1 times, to different targets
+    And 0 silences were reported
+
   Scenario: Versions only grow
     When version 7 without the route guide comes into force
     And version 5 with all routes arrives
--- a/tests/features/platform/adapter.feature
+++ b/tests/features/platform/adapter.feature
@@ -74,3 +74,5 @@
       | zone = 3                | refused for zone = 3                   |
       | bounds.grace_s = "long" | refused for bounds.grace_s = 'long'    |
       | platform = 5            | refused for platform. = 5              |
+      | no ephemeral_ports      | refused for ephemeral_ports = None     |
+      | seeds = "far"           | refused for seeds = 'far'              |
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -80,6 +80,8 @@
     'listen': {'packets': '127.0.0.1:1', 'ready': '127.0.0.1:2'},
     'bounds': {'grace_s': 6, 'max_flow_s': 60},
     'platform': {'address': '127.0.0.1:3'},
+    'ephemeral_ports': [4, 9],
+    'seeds': ['127.0.0.2:5'],
 }
 
 
@@ -280,6 +282,8 @@
 @then('the settings are read')
 def settings_read(context):
     assert context.result.store == Endpoint('127.0.0.1', 3), context.result
+    assert context.result.peer == Endpoint('127.0.0.1', 4), context.result
+    assert context.result.seeds == (Endpoint('127.0.0.2', 4),), context.result
 
 
 @then('the settings are refused for {problem}')
