Close a gap in what a member passes on after it took over all

A test with random histories found it: a member that pulled everything kept the older changes in its beats, so that a child took itself for up to date and never got what lay between.

--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -184,6 +184,9 @@
 
 
 def _knowledge(state, event):
+    if event.targets_revision > state.targets_revision:
+        # The changes held do not lead to what was just taken over whole.
+        state.changes.clear()
     state.targets_revision = event.targets_revision
     state.routes_revision = event.routes_revision
     is_newer = event.routes_version > state.routes_version
@@ -200,6 +203,8 @@
     if event.feed == TARGETS:
         if isinstance(news, Delta):
             _note_change(state, news, event.now_ms)
+        elif news.revision > state.targets_revision:
+            state.changes.clear()
         state.targets_revision = max(state.targets_revision, news.revision)
         return []
     state.routes_revision = max(state.routes_revision, news.revision)
@@ -212,6 +217,8 @@
 
 
 def _note_change(state, delta, now_ms):
+    if state.changes and delta.base > state.changes[-1].delta.revision:
+        state.changes.clear()
     state.changes.append(_Change(delta, now_ms))
     if delta.written or delta.removed:
         state.next_beat_ms = 0
--- /dev/null
+++ b/tests/features/decisions/spreading.feature
@@ -0,0 +1,86 @@
+Feature: One member of a domain reads the store, and news run down a tree
+  Pure decisions; an instance that is cut off from its peers reads itself.
+
+  Scenario Outline: Who reads the store
+    Given a member of a domain whose order is <order>
+    When <events>
+    Then it reads the store: <reads>
+
+    Examples:
+      | order   | events                                              | reads |
+      | me      | 10000 ms without a beat                                       | yes   |
+      | me, b   | 10000 ms without a beat                                       | yes   |
+      | b, me   | 500 ms without a beat                                         | no    |
+      | b, me   | 2000 ms without a beat                         | yes   |
+      | b, me   | 8000 ms with beats of age 100                  | no    |
+      | b, me   | 8000 ms with beats of age 6000                 | yes   |
+      | b, me   | 8000 ms with beats of age 100, then 2000 ms without | yes |
+      | b, me   | 2000 ms without a beat, then 1000 ms with beats of age 100 | no |
+      | b, me   | 8000 ms with beats of age 6000, then 1000 ms with beats of age 100 | no |
+
+  Scenario Outline: Members begin to read spread over time
+    Given <count> members of a domain that hear no beat any more
+    Then they begin to read between <from_ms> and <to_ms> ms later, not all at once
+
+    Examples:
+      | count | from_ms | to_ms |
+      | 30    | 1300    | 1800  |
+
+  Scenario Outline: News of targets need no further call when nothing is missing
+    Given a member that knows targets up to revision <held>
+    When a beat brings changes from revision 10 to 12
+    Then it takes over <taken> changes and pulls <pulls> times
+
+    Examples:
+      | held | taken | pulls |
+      | 10   | 1     | 0     |
+      | 11   | 1     | 0     |
+      | 12   | 0     | 0     |
+      | 20   | 0     | 0     |
+      | 9    | 0     | 1     |
+      | 0    | 0     | 1     |
+
+  Scenario: A newer configuration is pulled, once in a while
+    Given a member that knows targets up to revision 10
+    When beats of version 9 arrive 5 times within 100 ms
+    Then it takes over 0 changes and pulls 1 times
+
+  Scenario: Changes reach all 385 members of a domain in three steps
+    Given a domain of 385 members that all know revision 10
+    When the root reads a change to revision 12
+    Then every member holds revision 12 after 3 rounds of beats
+    And no member sent more than 8 beats a round
+    And no beat was larger than 1200 bytes
+
+  Scenario: A lost beat costs nothing
+    Given a domain of 9 members that all know revision 10
+    When the root reads a change to revision 12
+    And the first round of beats is lost
+    Then every member holds revision 12 after 1 rounds of beats
+    And nobody pulled
+
+  Scenario: Random losses, deaths and readers never leave a gap
+    When 200 random histories of a domain of 12 members are played
+    Then every member holds what the store held
+
+  Scenario Outline: What members tell each other survives the wire
+    When <count> random <things> are encoded and decoded
+    Then they come back as they were
+
+    Examples:
+      | count | things    |
+      | 50    | beats     |
+      | 50    | knowledge |
+
+  Scenario: Whatever a peer sends is read or refused
+    When 2000 random messages of peers are read
+    Then each was read or refused
+
+  Scenario: A process that restarts with an earlier clock joins again
+    Given a member that is known with incarnation 100
+    When its process restarts with incarnation 50 and hears of the former one
+    Then it takes a higher incarnation than 100
+
+  Scenario: A list of all members is not told on
+    Given a member that fetches the records of 90 others
+    Then it knows all of them and has none of them to tell
--- /dev/null
+++ b/tests/features/steps/spreading_steps.py
@@ -0,0 +1,442 @@
+"""Steps on the spreading of news within a failure domain."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import cbor2
+
+from liftmount._internal.decisions import membership
+from liftmount._internal.decisions import spreading
+from liftmount._internal.decisions.relay import FANOUT
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.models import knowledge as wire
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import Knowledge
+from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.members import Member
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.models.ticks import Tick
+from tests.features.steps.forwarding_steps import make_entry
+
+START_MS = 100_000
+TICK_MS = 50
+BEAT_EVERY_MS = 400
+
+
+def make_beat(sender='b', age_ms=0, base=10, targets=10, version=3, **more):
+    """Return a beat without changes, unless told otherwise."""
+    return wire.Beat(
+        sender=sender,
+        age_ms=age_ms,
+        base=base,
+        targets_revision=targets,
+        routes_revision=5,
+        routes_version=version,
+        written=more.get('written', ()),
+        removed=more.get('removed', ()),
+    )
+
+
+def make_member(name='me', order=('b', 'me'), revision=10):
+    """Return a member that has run for a long time and knows something."""
+    state = spreading.SpreadState(name, START_MS - 60_000, is_reading=False)
+    spreading.decide(state, spreading.OrderChanged(tuple(order)))
+    spreading.decide(state, spreading.KnowledgeChanged(revision, 5, 3))
+    state.heard_ms = START_MS
+    state.confirmed_ms = START_MS
+    return state
+
+
+@given('a member of a domain whose order is {order}')
+def member_of_order(context, order):
+    context.state = make_member(order=order.split(', '))
+    context.now_ms = START_MS
+
+
+@when('{interval:d} ms with beats of age {age:d}, then {more:d} ms '
+      'without')  # fmt: skip
+def beats_then_none(context, interval, age, more):
+    play(context, interval, age)
+    play(context, more, None)
+
+
+@when('{interval:d} ms with beats of age {age:d}, then {more:d} ms with '
+      'beats of age {other:d}')  # fmt: skip
+def beats_then_others(context, interval, age, more, other):
+    play(context, interval, age)
+    play(context, more, other)
+
+
+@when('{interval:d} ms without a beat, then {more:d} ms with beats of '
+      'age {age:d}')  # fmt: skip
+def none_then_beats(context, interval, more, age):
+    play(context, interval, None)
+    play(context, more, age)
+
+
+@when('{interval:d} ms with beats of age {age:d}')
+def with_beats(context, interval, age):
+    play(context, interval, age)
+
+
+@when('{interval:d} ms without a beat')
+def without_beats(context, interval):
+    play(context, interval, None)
+
+
+def play(context, interval_ms, age_ms):
+    """Let time pass, with beats of an age, or none."""
+    state = context.state
+    until_ms = context.now_ms + interval_ms
+    while context.now_ms < until_ms:
+        context.now_ms += TICK_MS
+        now_ms = context.now_ms
+        if age_ms is not None and now_ms % BEAT_EVERY_MS == 0:
+            beat = make_beat(age_ms=age_ms, targets=state.targets_revision)
+            spreading.decide(state, spreading.BeatArrived(beat, now_ms))
+        spreading.decide(state, Tick(now_ms))
+
+
+@then('it reads the store: {answer}')
+def reads_store(context, answer):
+    assert context.state.is_reading == (answer == 'yes'), context.state
+
+
+@given('{count:d} members of a domain that hear no beat any more')
+def many_members(context, count):
+    names = [f'm{index:02}' for index in range(count)]
+    context.began = []
+    for index, name in enumerate(names[1:]):
+        state = make_member(name, names)
+        state.spread = index / count
+        for now_ms in range(START_MS, START_MS + 5_000, TICK_MS):
+            for one in spreading.decide(state, Tick(now_ms)):
+                if isinstance(one, spreading.SetReading):
+                    context.began.append(now_ms - START_MS)
+
+
+@then('they begin to read between {first:d} and {last:d} ms later, not all '
+      'at once')  # fmt: skip
+def begin_between(context, first, last):
+    began = context.began
+    assert first <= min(began) and max(began) <= last, began
+    assert len(set(began)) > 4, began
+
+
+@given('a member that knows targets up to revision {revision:d}')
+def member_with_revision(context, revision):
+    context.state = make_member(revision=revision)
+    context.actions = []
+
+
+@when('a beat brings changes from revision {base:d} to {revision:d}')
+def beat_with_changes(context, base, revision):
+    entry = make_entry('new', 'guide')
+    beat = make_beat(base=base, targets=revision, written=(entry,))
+    context.actions = spreading.decide(
+        context.state, spreading.BeatArrived(beat, START_MS)
+    )
+
+
+@when('beats of version {version:d} arrive {times:d} times within 100 ms')
+def beats_of_version(context, version, times):
+    for index in range(times):
+        beat = make_beat(version=version)
+        event = spreading.BeatArrived(beat, START_MS + 20 * index)
+        context.actions += spreading.decide(context.state, event)
+
+
+@then('it takes over {taken:d} changes and pulls {pulls:d} times')
+def taken_and_pulled(context, taken, pulls):
+    kinds = [type(one) for one in context.actions]
+    assert kinds.count(spreading.TakeOver) == taken, context.actions
+    assert kinds.count(spreading.Pull) == pulls, context.actions
+
+
+class Domain:
+    """Members of a domain, what they hold, and beats on their way."""
+
+    def __init__(self, size):
+        self.names = [f'm{index:03}' for index in range(size)]
+        self.members = {
+            name: make_member(name, self.names) for name in self.names
+        }
+        self.held = {name: {} for name in self.names}
+        self.now_ms = START_MS
+        self.pulls = 0
+        self.sent = []
+        self.sizes = []
+
+    def read(self, name, delta):
+        """Let a member read a change from the store."""
+        self.apply(name, delta)
+        event = spreading.StoreAnswered(TARGETS, delta, self.now_ms)
+        spreading.decide(self.members[name], event)
+
+    def apply(self, name, delta):
+        """Take a change over into what a member holds."""
+        for entry in delta.written:
+            self.held[name][entry.name] = entry
+        for gone in delta.removed:
+            self.held[name].pop(gone, None)
+
+    def round(self, is_lost=lambda sender, receiver: False, alive=None):
+        """Send one round of beats, all at the same time."""
+        self.now_ms += BEAT_EVERY_MS
+        beats = []
+        for name in alive or self.names:
+            state = self.members[name]
+            for one in spreading.decide(state, Tick(self.now_ms)):
+                if isinstance(one, spreading.SendBeat):
+                    data = wire.encode_beat(one.beat)
+                    self.sizes.append(len(data))
+                    self.sent.append(len(one.children))
+                    beats += [(name, child, data) for child in one.children]
+        for sender, receiver, data in beats:
+            if not is_lost(sender, receiver):
+                self.deliver(receiver, wire.decode_beat(data))
+
+    def deliver(self, receiver, beat):
+        """Hand a beat over and do what the receiver wants done."""
+        state = self.members[receiver]
+        event = spreading.BeatArrived(beat, self.now_ms)
+        for one in spreading.decide(state, event):
+            if isinstance(one, spreading.TakeOver):
+                self.apply(receiver, one.delta)
+            elif isinstance(one, spreading.Pull):
+                self.pulls += 1
+                self.copy(one.peer, receiver)
+
+    def copy(self, source, receiver):
+        """Let a member take over all that another one holds."""
+        self.held[receiver] = dict(self.held[source])
+        revision = self.members[source].targets_revision
+        event = spreading.KnowledgeChanged(revision, 5, 3)
+        spreading.decide(self.members[receiver], event)
+
+
+@given('a domain of {size:d} members that all know revision 10')
+def domain_of(context, size):
+    context.domain = Domain(size)
+
+
+@when('the root reads a change to revision 12')
+def root_reads(context):
+    context.entry = make_entry('new', 'guide')
+    delta = Delta((context.entry,), (), 12, 10)
+    context.domain.read(context.domain.names[0], delta)
+
+
+@when('the first round of beats is lost')
+def round_lost(context):
+    context.domain.round(is_lost=lambda sender, receiver: True)
+
+
+@then('every member holds revision 12 after {rounds:d} rounds of beats')
+def all_hold(context, rounds):
+    domain = context.domain
+    for _ in range(rounds):
+        domain.round()
+    for name, state in domain.members.items():
+        assert state.targets_revision == 12, name
+        assert domain.held[name] == {'new': context.entry}, name
+
+
+@then('no member sent more than 8 beats a round')
+def few_beats(context):
+    assert max(context.domain.sent) <= FANOUT
+
+
+@then('no beat was larger than {most:d} bytes')
+def small_beats(context, most):
+    assert max(context.domain.sizes) <= most, max(context.domain.sizes)
+
+
+@then('nobody pulled')
+def nobody_pulled(context):
+    assert context.domain.pulls == 0
+
+
+@when('{count:d} random histories of a domain of {size:d} members are played')
+def random_histories(context, count, size):
+    context.ends = []
+    for seed in range(count):
+        context.ends.append(play_history(random.Random(seed), size))
+
+
+def play_history(rng, size):
+    """Play one history; return (what the store held, what members held)."""
+    domain = Domain(size)
+    store = {}
+    revision = 10
+    for _ in range(25):
+        changes = rng.choice((0, 0, 1, 2, 15))
+        written = []
+        removed = []
+        base = revision
+        for _ in range(changes):
+            revision += 1
+            name = f't{rng.randrange(20)}'
+            if name in store and rng.random() < 0.4:
+                del store[name]
+                removed.append(name)
+            else:
+                store[name] = make_entry(name, 'guide', number=revision)
+                written.append(store[name])
+        delta = Delta(
+            tuple(one for one in written if store.get(one.name) == one),
+            tuple(name for name in removed if name not in store),
+            revision,
+            base,
+        )
+        # The root reads, and sometimes a member that heard nothing; the
+        # root itself misses nothing, as it watches from what it holds.
+        domain.read(domain.names[0], delta)
+        loss = rng.choice((0.0, 0.3, 0.9))
+        alive = [domain.names[0]]
+        alive += [one for one in domain.names[1:] if rng.random() > 0.2]
+        domain.round(
+            is_lost=lambda _sender, receiver, loss=loss, alive=alive: (
+                rng.random() < loss or receiver not in alive
+            ),
+            alive=alive,
+        )
+    for _ in range(6):
+        domain.round()
+    return store, domain.held
+
+
+@then('every member holds what the store held')
+def all_equal(context):
+    for store, held in context.ends:
+        for name, found in held.items():
+            assert found == store, (name, found, store)
+
+
+def random_entry(rng):
+    """Return some target."""
+    number = rng.randrange(2**64)
+    name = f'i-{number:x}'
+    return make_entry(name, f's{number % 5}', 'abc'[number % 3], number)
+
+
+def random_beat(rng):
+    """Return some beat."""
+    entries = tuple(random_entry(rng) for _ in range(rng.randrange(5)))
+    return make_beat(
+        age_ms=rng.randrange(9_000),
+        base=rng.randrange(100),
+        targets=rng.randrange(2**40),
+        written=entries,
+        removed=tuple(f'i-{index}' for index in range(rng.randrange(4))),
+    )
+
+
+def random_knowledge(rng):
+    """Return some targets and routes."""
+    routes = {}
+    for index in range(rng.randrange(5)):
+        address = Endpoint('198.51.100.1', 1 + index)
+        shares = (ServiceShare('guide', 9), ServiceShare('tiles', 1))
+        kind = rng.choice(list(RouteKind))
+        routes[address] = Route(f'r{index}', address, kind, shares, 2, 200)
+    table = RouteTable(rng.randrange(99), routes, {'guide': '/health'}, 15_000)
+    entries = tuple(random_entry(rng) for _ in range(rng.randrange(9)))
+    return Knowledge(entries, 7, rng.choice((None, table)), 8)
+
+
+CODECS = {
+    'beats': (random_beat, wire.encode_beat, wire.decode_beat),
+    'knowledge': (
+        random_knowledge,
+        wire.encode_knowledge,
+        wire.decode_knowledge,
+    ),
+}
+
+
+@when('{count:d} random {things} are encoded and decoded')
+def encode_and_decode(context, count, things):
+    rng = random.Random(3)
+    make, encode, decode = CODECS[things]
+    context.pairs = []
+    for _ in range(count):
+        one = make(rng)
+        context.pairs.append((one, decode(encode(one))))
+
+
+@then('they come back as they were')
+def come_back(context):
+    for before, after in context.pairs:
+        assert before == after, (before, after)
+
+
+@when('{count:d} random messages of peers are read')
+def random_messages(context, count):
+    rng = random.Random(5)
+    for _ in range(count):
+        fields = [rng.choice((3, 'a', b'x', None, [1], {})) for _ in range(9)]
+        for data in (rng.randbytes(rng.randrange(60)), cbor2.dumps(fields)):
+            for decode in (
+                wire.decode_beat,
+                wire.decode_knowledge,
+                wire.decode_members,
+            ):
+                try:
+                    decode(data)
+                except PacketError:
+                    continue
+
+
+@then('each was read or refused')
+def each_read(_context):
+    # Anything but a PacketError has failed the step before.
+    pass
+
+
+def make_record(name, incarnation=1):
+    """Return the record of a member."""
+    address = Endpoint('127.0.0.1', 1 + hash(name) % 60_000)
+    return Member(name, 'a', address, address, incarnation)
+
+
+@given('a member that is known with incarnation {incarnation:d}')
+def member_known(context, incarnation):
+    context.record = make_record('me', incarnation)
+
+
+@when('its process restarts with incarnation {incarnation:d} and hears of '
+      'the former one')  # fmt: skip
+def restarts(context, incarnation):
+    own = make_record('me', incarnation)
+    times = membership.MembershipTimes()
+    context.members = membership.make_membership(own, times, (), 0)
+    membership.learn(context.members, context.record, 0)
+
+
+@then('it takes a higher incarnation than {incarnation:d}')
+def higher_incarnation(context, incarnation):
+    assert context.members.own.incarnation > incarnation
+
+
+@given('a member that fetches the records of {count:d} others')
+def fetches_records(context, count):
+    own = make_record('me')
+    times = membership.MembershipTimes()
+    context.members = membership.make_membership(own, times, (), 0)
+    records = [make_record(f'm{index}') for index in range(count)]
+    data = wire.encode_members(records)
+    membership.learn_all(context.members, wire.decode_members(data), 0)
+    context.count = count
+
+
+@then('it knows all of them and has none of them to tell')
+def knows_all(context):
+    assert len(context.members.members) == context.count
+    assert not set(context.members.gossip) & set(context.members.members)
