Move the life of an entry balancer out of the adapter; serve metrics; reload

Start, joining, reload and stop are in services/entry.py. Settings that changed are taken over after SIGHUP or when the file is newer; a bad file keeps the last good ones.

--- /dev/null
+++ b/src/liftmount/_internal/models/entry_settings.py
@@ -0,0 +1,28 @@
+"""Settings of a balancer that stands at the entry of a platform."""
+
+from attrs import frozen
+
+from liftmount._internal.models.addresses import Endpoint
+
+
+@frozen
+class EntrySettings:
+    """What one balancer is told about itself and its surroundings.
+
+    ``packets`` takes datagrams; clients get resets at its port number.
+    ``peer`` is for other balancers, over UDP and TCP; ``seeds`` are such
+    addresses of a few of them.  ``metrics`` serves counters.  A flow older
+    than ``flow_max_age_ms`` may be forgotten; a planned stop may take
+    ``stop_ms``.
+    """
+
+    name: str
+    failure_domain: str
+    packets: Endpoint
+    readiness: Endpoint
+    metrics: Endpoint
+    store: Endpoint
+    peer: Endpoint
+    seeds: tuple[Endpoint, ...]
+    flow_max_age_ms: int
+    stop_ms: int
--- /dev/null
+++ b/src/liftmount/_internal/services/entry.py
@@ -0,0 +1,245 @@
+"""A balancer at the entry of a platform, from start to stop.
+
+What serves packets starts first and imports little, since a balancer that
+was killed serves nobody while it imports; the rest follows when packets
+flow.
+"""
+
+import asyncio
+import signal
+import socket
+from zlib import crc32
+
+from attrs import define
+from attrs import frozen
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.clock import seconds
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.kernel import Kernel
+from liftmount._internal.models.entry_settings import EntrySettings
+from liftmount._internal.services.feeds import FeedService
+from liftmount._internal.services.packets import PacketService
+from liftmount._internal.services.readiness import ReadinessService
+from liftmount._internal.utils.metrics import Metrics
+from liftmount._internal.utils.structured import StructuredLog
+
+FLUSH_MS = 200
+CHECK_MS = 50
+# How often a settings file that changed without a signal is looked for.
+SETTINGS_CHECK_MS = 2_000
+# How long a start waits for the store before it looks for peers.
+SERVE_FIRST_MS = 400
+# How long a balancer that found the store serves before it looks for peers;
+# the imports take a tenth of a second on a small instance.
+SERVE_ALONE_MS = 1_000
+# What must be left of the time for a planned stop when the process ends.
+STOP_MARGIN_MS = 800
+
+
+@frozen
+class Adapter:
+    """What a platform has to give to a balancer.
+
+    ``codec`` reads and writes packets (see PacketService).  ``make_feeds``
+    takes settings, a function that hears of objects that are no good, and
+    metrics, and returns feeds by name.  ``load`` returns the settings as
+    they are now, or raises ConfigurationError; ``stamp`` returns what
+    changes with the settings file.  ``ready_path`` is asked by the fabric.
+    """
+
+    codec: object
+    make_feeds: object
+    load: object
+    stamp: object
+    ready_path: str
+
+
+@define
+class EntryBalancer:
+    """One balancer: its services, and the order in which they start.
+
+    ``bound`` is the socket for packets, if it is bound already.
+    """
+
+    adapter: Adapter
+    settings: EntrySettings
+    bound: socket.socket | None = None
+    kernel: Kernel | None = None
+    log: StructuredLog | None = None
+    metrics: Metrics | None = None
+    group: object = None
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        self._build()
+        self.log.write('process', 'start', instance=self.settings.name)
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, 'signal')
+        running = asyncio.create_task(self.kernel.run())
+        tasks = [
+            running,
+            asyncio.create_task(stopping.wait()),
+            asyncio.create_task(self._join_group()),
+            asyncio.create_task(self._flush_forever()),
+            asyncio.create_task(self._watch_settings()),
+        ]
+        await asyncio.wait(tasks[:2], return_when=asyncio.FIRST_COMPLETED)
+        if not running.done():
+            await self._leave()
+        for task in tasks:
+            task.cancel()
+        (result,) = await asyncio.gather(running, return_exceptions=True)
+        self.log.write('process', 'stop', cause=repr(result))
+        self.log.flush()
+        if isinstance(result, Exception):
+            raise result
+
+    def _build(self):
+        """Register the services that packets need."""
+        settings = self.settings
+        self.kernel = Kernel(Clock())
+        self.metrics = Metrics()
+        self.log = StructuredLog(self.kernel.clock)
+        packets = PacketService(
+            self.kernel,
+            self.adapter.codec,
+            settings,
+            self.log,
+            self.metrics,
+            self.bound,
+        )
+        self.kernel.register(packets)
+        self.kernel.register(
+            ReadinessService(
+                self.kernel,
+                settings.readiness,
+                self.adapter.ready_path,
+                packets.why_not_ready,
+                self.log,
+            )
+        )
+        feeds = self.adapter.make_feeds(settings, self._refused, self.metrics)
+        for name, feed in feeds.items():
+            service = FeedService(
+                self.kernel,
+                name,
+                feed,
+                [packets.name],
+                self.log,
+                _spread(settings.name),
+            )
+            self.kernel.register(service)
+
+    def _refused(self, error):
+        self.metrics.count('refused.invalid_object')
+        self.log.write('store', 'object_refused', cause=str(error))
+
+    async def _join_group(self):
+        """Meet the other balancers, once this one serves or can't."""
+        packets = self.kernel.lookup('packets')
+        until_ms = self.kernel.clock.now_ms() + SERVE_FIRST_MS
+        while not packets.state.is_complete:
+            if self.kernel.clock.now_ms() >= until_ms:
+                break
+            await asyncio.sleep(seconds(CHECK_MS))
+        else:
+            # What waited is served before anything else is imported.
+            await asyncio.sleep(seconds(SERVE_ALONE_MS))
+        await self._add_late(packets)
+
+    async def _add_late(self, packets):
+        from liftmount._internal.services.group import GroupOptions
+        from liftmount._internal.services.group import GroupService
+        from liftmount._internal.services.metrics_page import MetricsPage
+
+        settings = self.settings
+        options = GroupOptions(
+            name=settings.name,
+            failure_domain=settings.failure_domain,
+            peer=settings.peer,
+            seeds=settings.seeds,
+            spread=_spread(settings.name),
+        )
+        feeds = [
+            one
+            for one in self.kernel.services.values()
+            if isinstance(one, FeedService)
+        ]
+        self.group = GroupService(
+            self.kernel, options, packets, feeds, self.log, self.metrics
+        )
+        await self.kernel.add(
+            MetricsPage(
+                self.kernel,
+                settings.metrics,
+                self.metrics,
+                packets,
+                self.group,
+                self.log,
+            )
+        )
+        await self.kernel.add(self.group)
+
+    async def _leave(self):
+        """Forward until the fabric has moved on."""
+        self.log.write('process', 'stopping')
+        clock = self.kernel.clock
+        packets = self.kernel.lookup('packets')
+        started_ms = clock.now_ms()
+        if self.group is not None and self.group.members is not None:
+            self.group.leave()
+        packets.leave(started_ms + self.settings.stop_ms - STOP_MARGIN_MS)
+        while not packets.leaving.may_end(clock.now_ms()):
+            await asyncio.sleep(seconds(CHECK_MS))
+        if self.group is not None and self.group.members is not None:
+            self.group.say_farewell()
+        forwarded_ms = clock.now_ms() - started_ms
+        self.log.write('process', 'left', forwarded_ms=forwarded_ms)
+
+    def _reload(self, cause):
+        """Take over settings that changed; keep the old ones if bad."""
+        before = self.settings
+        try:
+            self.settings = self.adapter.load()
+        except ConfigurationError as error:
+            self.log.write('process', 'reload_refused', cause=str(error))
+            return
+        after = self.settings
+        packets = self.kernel.lookup('packets')
+        packets.state.flow_max_age_ms = after.flow_max_age_ms
+        if self.group is not None and self.group.members is not None:
+            self.group.set_seeds(after.seeds)
+        if after.store != before.store:
+            for service in self.kernel.services.values():
+                if isinstance(service, FeedService):
+                    service.feed.set_address(after.store)
+        fixed = ('name', 'packets', 'readiness', 'metrics', 'peer')
+        restart = [
+            name
+            for name in fixed
+            if getattr(before, name) != getattr(after, name)
+        ]
+        self.log.write('process', 'reload', cause=cause, needs_restart=restart)
+
+    async def _watch_settings(self):
+        stamp = self.adapter.stamp()
+        while True:
+            await asyncio.sleep(seconds(SETTINGS_CHECK_MS))
+            found = self.adapter.stamp()
+            if found != stamp:
+                stamp = found
+                self._reload('file changed')
+
+    async def _flush_forever(self):
+        while True:
+            self.log.flush()
+            await asyncio.sleep(seconds(FLUSH_MS))
+
+
+def _spread(name):
+    """Return a share from 0 to 1 that differs by balancer."""
+    return crc32(name.encode()) / 2**32
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -210,6 +210,11 @@
             case _:
                 super().handle(message)
 
+    def set_seeds(self, seeds):
+        """Take over new seeds, and ask them for members."""
+        own = self.members.own.peer
+        self.members.seeds = tuple(one for one in seeds if one != own)
+
     def leave(self):
         """Tell the others that a planned stop has begun."""
         self._announce(leaving=True)
--- /dev/null
+++ b/src/liftmount/_internal/services/metrics_page.py
@@ -0,0 +1,62 @@
+"""Serves counters, gauges and histograms as text."""
+
+from liftmount._internal.kernel import Service
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.network.http import HttpAnswer
+from liftmount._internal.network.http import HttpServer
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+METRICS_PATH = '/metrics'
+
+
+class MetricsPage(Service):
+    """Owns the server of the metrics address."""
+
+    name = 'metrics'
+
+    def __init__(
+        self, kernel, address: Endpoint, metrics, packets, group, log
+    ):
+        super().__init__(kernel)
+        self._address = address
+        self._metrics = metrics
+        self._packets = packets
+        self._group = group
+        self._log = log
+        self._server = HttpServer(self._answer)
+
+    async def start(self):
+        """Bind the server; without it the balancer still serves."""
+        try:
+            await self._server.start(self._address)
+        except OSError as error:
+            self._log.write(self.name, 'not_bound', cause=str(error))
+
+    def _answer(self, path):
+        if path != METRICS_PATH:
+            return HttpAnswer(HTTP_NOT_FOUND, b'', {})
+        self._measure()
+        return HttpAnswer(HTTP_OK, self._metrics.text().encode(), {})
+
+    def _measure(self):
+        """Set the gauges, which are read off the state when asked for."""
+        state = self._packets.state
+        spread = self._group.spread
+        now_ms = self.clock.now_ms()
+        gauges = self._metrics.gauges
+        gauges['flows'] = len(state.flows)
+        gauges['targets'] = len(self._packets.directory.entries)
+        gauges['targets_dead'] = len(state.health.dead)
+        gauges['targets_doubted'] = len(self._packets.directory.doubted)
+        gauges['configuration_version'] = (
+            state.table.version if state.table else 0
+        )
+        gauges['targets_revision'] = self._packets.directory.revision
+        gauges['knowledge_age_ms'] = now_ms - spread.known_as_of_ms()
+        gauges['reads_store'] = int(spread.is_reading)
+        gauges['log_lines_lost'] = self._log.lost_in_all
+
+    async def stop(self):
+        """Close the server."""
+        self._server.close()
--- a/src/liftmount/_internal/utils/metrics.py
+++ b/src/liftmount/_internal/utils/metrics.py
@@ -27,9 +27,10 @@
 
 @define
 class Metrics:
-    """Counters by name, histograms by name and label."""
+    """Counters and gauges by name, histograms by name and label."""
 
     totals: Counter = Factory(Counter)
+    gauges: dict[str, float] = Factory(dict)
     histograms: dict[str, dict[str, Histogram]] = Factory(dict)
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -50,6 +51,8 @@
             group, _dot, reason = name.partition('.')
             label = f'{{reason="{reason}"}}' if reason else ''
             lines.append(f'{PREFIX}_{group}_total{label} {value}')
+        for name, value in sorted(self.gauges.items()):
+            lines.append(f'{PREFIX}_{name} {value:g}')
         for name, group in sorted(self.histograms.items()):
             for label, histogram in sorted(group.items()):
                 lines += _histogram_lines(name, label, histogram)
--- a/src/liftmount/_internal/utils/structured.py
+++ b/src/liftmount/_internal/utils/structured.py
@@ -29,6 +29,7 @@
         self._second = 0
         self._in_second = 0
         self.lost = 0
+        self.lost_in_all = 0
         os.set_blocking(descriptor, False)
 
     def write(self, part: str, event: str, **fields) -> None:
@@ -41,6 +42,7 @@
         is_over = self._in_second > LINES_PER_SECOND
         if is_over or len(self._lines) >= MAX_LINES:
             self.lost += 1
+            self.lost_in_all += 1
             return
         line = {'at_ms': now_ms, 'part': part, 'event': event, **fields}
         self._lines.append(line)
--- a/src/liftmount/platform/settings.py
+++ b/src/liftmount/platform/settings.py
@@ -2,36 +2,16 @@
 
 import tomllib
 
-from attrs import frozen
-
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.exceptions import StoredObjectError
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.entry_settings import EntrySettings
 from liftmount._internal.models.problems import Problem
 from liftmount.platform.objects import Fields
 
 MS_PER_S = 1_000
-
-
-@frozen
-class EntrySettings:
-    """What one balancer is told about itself and its surroundings.
-
-    ``packets`` takes datagrams; clients get resets at its port number.
-    ``peer`` is for other balancers, over UDP and TCP; ``seeds`` are such
-    addresses of a few of them.  ``stop_ms`` is how long a planned stop
-    may take.
-    """
-
-    name: str
-    failure_domain: str
-    packets: Endpoint
-    readiness: Endpoint
-    store: Endpoint
-    peer: Endpoint
-    seeds: tuple[Endpoint, ...]
-    flow_max_age_ms: int
-    stop_ms: int
+# The port that deploy/system.toml names; the settings hold none for it.
+METRICS_PORT = 9102
 
 
 def load_settings(path: str) -> EntrySettings:
@@ -65,6 +45,7 @@
         failure_domain=fields.text('zone'),
         packets=packets,
         readiness=listen.endpoint('ready'),
+        metrics=Endpoint(packets.ip, METRICS_PORT),
         store=fields.part('platform').endpoint('address'),
         peer=Endpoint(packets.ip, port),
         seeds=tuple(seeds),
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -10,8 +10,11 @@
 from liftmount._internal.exceptions import PlatformUnavailableError
 from liftmount._internal.exceptions import StoredObjectError
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.entry_settings import EntrySettings
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.feeds import ROUTES
+from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.network.http import HttpConnection
 from liftmount.platform.objects import CONFIGURATION_KIND
 from liftmount.platform.objects import read_routes
@@ -90,6 +93,11 @@
             base,
         )
 
+    def set_address(self, address: Endpoint) -> None:
+        """Call another address from the next call on."""
+        self._connection.address = address
+        self._connection.close()
+
     def close(self) -> None:
         """Drop the connection."""
         self._connection.close()
@@ -123,14 +131,16 @@
         return decoded
 
 
-def routes_feed(address, report, metrics) -> StoreFeed:
-    """Return a feed of the operator's configuration."""
-    return StoreFeed(address, CONFIGURATION_KIND, read_routes, report, metrics)
-
-
-def targets_feed(address, report, metrics) -> StoreFeed:
-    """Return a feed of the targets' entries."""
-    return StoreFeed(address, TARGET_KIND, read_target, report, metrics)
+def make_feeds(settings: EntrySettings, report, metrics) -> dict:
+    """Return the feeds of routes and targets by name."""
+    return {
+        ROUTES: StoreFeed(
+            settings.store, CONFIGURATION_KIND, read_routes, report, metrics
+        ),
+        TARGETS: StoreFeed(
+            settings.store, TARGET_KIND, read_target, report, metrics
+        ),
+    }
 
 
 def _list(page, field):
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -245,8 +245,13 @@
 @when('{count:d} random documents are read as entries, routes and answers')
 def random_documents(context, count):
     context.seen = []
-    feed = store.targets_feed(Endpoint('127.0.0.1', 1), None, None)
-    feed._report = context.seen.append
+    feed = store.StoreFeed(
+        Endpoint('127.0.0.1', 1),
+        objects.TARGET_KIND,
+        objects.read_target,
+        context.seen.append,
+        None,
+    )
 
     @hypothesis_settings(
         max_examples=count, deadline=None, derandomize=True, database=None
