Hand the clients of a domain that is cut off and short to other domains

Balancers there say that they are not ready while the cut lasts, if their own targets can't carry the load. One dead target far away is no cut: other flows there still show progress.

--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -14,6 +14,7 @@
 from attrs import Factory
 
 from liftmount._internal.decisions.flow_tags import TagTable
+from liftmount._internal.decisions.overflow import DomainLoad
 from liftmount._internal.decisions.pool import flow_cost
 from liftmount._internal.decisions.pool import Pool
 from liftmount._internal.decisions.pool import TargetInfo
@@ -229,7 +230,8 @@
     """Routes, targets, pools by service, flows, and evidence.
 
     ``former`` holds when a target that is gone may be forgotten; ``seed``
-    makes the choices of balancers differ.
+    makes the choices of balancers differ.  ``far_seen_ms`` is when a flow
+    to a target of another failure domain last showed progress.
     """
 
     failure_domain: str
@@ -244,6 +246,7 @@
     flows: dict[bytes, Flow] = Factory(dict)
     opening: deque = Factory(deque)
     held: deque = Factory(deque)
+    far_seen_ms: int = 0
     next_sweep_ms: int = 0
     ticked_ms: int = 0
     turn: int = 0
@@ -293,6 +296,35 @@
     raise TypeError(f'unknown event {event!r}')
 
 
+def domain_loads(state: ForwardingState, members: int, now_ms: int) -> tuple:
+    """Return a DomainLoad for each service with targets.
+
+    This balancer sees its own part of the load; its domain has as many
+    times that as it has ``members``.
+    """
+    return tuple(
+        _domain_load(state, pool, members, now_ms)
+        for pool in state.pools.values()
+        if pool.targets
+    )
+
+
+def _domain_load(state, pool, members, now_ms):
+    demand = 0.0
+    near = far = far_alive = 0
+    for one in pool.targets.values():
+        demand += one.busy.update(one.in_progress, now_ms)
+        if one.leaving:
+            continue
+        is_dead = state.health.is_dead(one.name)
+        if one.failure_domain == state.failure_domain:
+            near += 0 if is_dead else one.slots
+        else:
+            far += one.slots
+            far_alive += 0 if is_dead else one.slots
+    return DomainLoad(demand * members, near, far, far_alive)
+
+
 def _segment(state, segment, now_ms):
     if state.table is None:
         return _hold(state, segment, now_ms)
@@ -532,6 +564,7 @@
     if segment.acknowledgement != flow.acknowledged:
         flow.acknowledged = segment.acknowledgement
         flow.resends = 0
+        _note_far(state, flow, now_ms)
         # An answer is on its way, or another request began.
         _work(state, flow, _is_new(segment, flow), now_ms)
         return [TargetSeen(flow.target, now_ms)]
@@ -546,6 +579,12 @@
     return [TargetSilent(flow.target, now_ms)]
 
 
+def _note_far(state, flow, now_ms):
+    entry = state.tags.entries.get(flow.target)
+    if entry is not None and entry.failure_domain != state.failure_domain:
+        state.far_seen_ms = now_ms
+
+
 def _is_new(segment, flow):
     """Tell whether a segment holds data for the first time; note it."""
     if not segment.length_bytes:
--- /dev/null
+++ b/src/liftmount/_internal/decisions/overflow.py
@@ -0,0 +1,143 @@
+"""When a failure domain hands its clients to other domains.
+
+A domain that is cut off from the others serves its clients by its own
+targets.  If these can't carry the load, its balancers say that they are
+not ready, and the fabric brings the clients to other domains, whose
+targets can.  They come back when the cut has healed.
+"""
+
+from attrs import define
+
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
+
+# Part of its slots that a domain's load may take before it counts as short:
+# with three slots above it requests wait longer than they take.
+SHORT_SHARE = 0.75
+# Part of the other domains' slots that answers at most while cut off, and
+# at least when the cut has healed.
+CUT_SHARE = 0.1
+HEALED_SHARE = 0.5
+# How long a cut must be seen before it counts, and its end: a few probes.
+CUT_MS = 500
+HEALED_MS = 1_000
+
+
+@message
+class DomainLoad(Message):
+    """The load of one service, in slots, as one balancer sees it.
+
+    ``demand_slots`` is what the whole domain's clients keep busy;
+    ``near_slots`` are those of its own targets that answer.
+    ``far_slots`` are those of other domains, ``far_alive_slots`` what of
+    them answers.
+    """
+
+    demand_slots: float
+    near_slots: int
+    far_slots: int
+    far_alive_slots: int
+
+
+@message
+class DomainSeen(Message):
+    """The load of each service; ``is_isolated`` if no far member lives.
+
+    ``far_seen_ms`` is when a flow to another domain's target last showed
+    progress: then it was a target that failed and not the way there.
+    """
+
+    loads: tuple[DomainLoad, ...]
+    is_isolated: bool
+    far_seen_ms: int
+    now_ms: int
+
+
+@message
+class OverflowChanged(Message):
+    """The domain's clients are handed over, or taken back."""
+
+    is_out: bool
+    reason: str
+
+
+@define
+class OverflowState:
+    """Since when the domain seems cut off, or healed; None if it isn't."""
+
+    is_out: bool = False
+    cut_ms: int | None = None
+    healed_ms: int | None = None
+
+
+def decide(state: OverflowState, event: DomainSeen) -> list:
+    """Return an OverflowChanged when the state changes."""
+    _note_cut(state, event)
+    if state.is_out:
+        return _check_healed(state, event.now_ms)
+    return _check_short(state, event)
+
+
+def _note_cut(state, event):
+    now_ms = event.now_ms
+    if not _cut_loads(event):
+        state.cut_ms = None
+    elif state.cut_ms is None:
+        state.cut_ms = now_ms
+    is_healed = not _cut_loads(event) and _far_share(event) >= HEALED_SHARE
+    if not is_healed:
+        state.healed_ms = None
+    elif state.healed_ms is None:
+        state.healed_ms = now_ms
+
+
+def _cut_loads(event):
+    """Return the loads that no other domain's targets can help with.
+
+    A service that sends few flows abroad notices a cut late, so each
+    service counts for itself.
+    """
+    if event.now_ms - event.far_seen_ms < CUT_MS:
+        return []
+    return [
+        load
+        for load in event.loads
+        if load.far_slots and (event.is_isolated or _is_cut(load))
+    ]
+
+
+def _is_cut(load):
+    return load.far_alive_slots <= CUT_SHARE * load.far_slots
+
+
+def _far_share(event):
+    """Return which part of the far slots answers."""
+    far = sum(load.far_slots for load in event.loads)
+    alive = sum(load.far_alive_slots for load in event.loads)
+    return alive / far if far else 1.0
+
+
+def _check_healed(state, now_ms):
+    if state.healed_ms is None or now_ms - state.healed_ms < HEALED_MS:
+        return []
+    state.is_out = False
+    return [OverflowChanged(False, 'other domains answer again')]
+
+
+def _check_short(state, event):
+    if state.cut_ms is None or event.now_ms - state.cut_ms < CUT_MS:
+        return []
+    short = [load for load in _cut_loads(event) if _is_short(load)]
+    if not short:
+        return []
+    state.is_out = True
+    worst = max(short, key=lambda load: load.demand_slots)
+    demand = round(worst.demand_slots, 1)
+    reason = f'cut off with {worst.near_slots} slots for a load of {demand}'
+    return [OverflowChanged(True, reason)]
+
+
+def _is_short(load):
+    """Tell whether the own targets can't carry what others could."""
+    is_loaded = load.demand_slots > SHORT_SHARE * load.near_slots
+    return is_loaded and load.far_slots > load.near_slots
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -37,6 +37,7 @@
 from liftmount._internal.network.udp import UdpSocket
 from liftmount._internal.services.feeds import FeedFailed
 from liftmount._internal.services.feeds import FeedNews
+from liftmount._internal.services.packets import DomainMembers
 
 TICK_MS = 50
 KNOWLEDGE_PATH = '/knowledge'
@@ -237,6 +238,14 @@
         others = self.members.members.values()
         near = [one for one in others if one.failure_domain == domain]
         order = tuple(relay_order([self.members.own, *near]))
+        far = [one for one in others if one.failure_domain != domain]
+        self.packets.post(
+            DomainMembers(
+                near=1 + sum(one.eligible for one in near),
+                is_isolated=bool(far)
+                and not any(one.reachable for one in far),
+            )
+        )
         if order != self.spread.order:
             spreading.decide(self.spread, spreading.OrderChanged(order))
             self.log.write(
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -7,6 +7,7 @@
 from liftmount._internal.clock import seconds
 from liftmount._internal.decisions import directory
 from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions import overflow
 from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.exceptions import PacketError
@@ -15,18 +16,29 @@
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
 from liftmount._internal.models.ticks import Tick
 from liftmount._internal.services.feeds import FeedFailed
 from liftmount._internal.services.feeds import FeedNews
 from liftmount._internal.services.probes import probe
 
 TICK_MS = 20
+OVERFLOW_MS = 200
 RECEIVE_BYTES = 2_048
 # Datagrams read at one wake-up before others get a turn.
 BATCH = 64
 BUFFER_BYTES = 4 * 1_048_576
 
 
+@message
+class DomainMembers(Message):
+    """Live members of the own domain; isolated if no other one lives."""
+
+    near: int
+    is_isolated: bool
+
+
 class PacketService(Service):
     """Owns the socket for packets and all that is believed.
 
@@ -47,6 +59,9 @@
         self.leaving: LeavingState | None = None
         self.directory = directory.DirectoryState()
         self.routes_revision = 0
+        self.overflow = overflow.OverflowState()
+        self._domain = DomainMembers(1, False)
+        self._next_overflow_ms = 0
         self.state = forwarding.ForwardingState(
             options.failure_domain,
             options.flow_max_age_ms,
@@ -58,6 +73,8 @@
         if self.leaving is not None:
             self.leaving.refused()
             return 'stopping'
+        if self.overflow.is_out:
+            return 'clients are handed to other domains'
         if self.state.table is None:
             return 'no configuration yet'
         if not self.state.has_targets:
@@ -100,6 +117,23 @@
             self._execute(forwarding.decide(self.state, tick))
             health = self.state.health
             self._execute(target_health.decide(health, tick))
+            self._check_overflow(tick.now_ms)
+
+    def _check_overflow(self, now_ms):
+        """See whether the domain can carry its clients."""
+        if now_ms < self._next_overflow_ms:
+            return
+        self._next_overflow_ms = now_ms + OVERFLOW_MS
+        event = overflow.DomainSeen(
+            forwarding.domain_loads(self.state, self._domain.near, now_ms),
+            self._domain.is_isolated,
+            self.state.far_seen_ms,
+            now_ms,
+        )
+        for action in overflow.decide(self.overflow, event):
+            name = 'handed_over' if action.is_out else 'taken_back'
+            self._log.write('domain', name, reason=action.reason)
+            self._counters.count(f'domain.{name}')
 
     def _on_readable(self):
         now_ms = self.clock.now_ms()
@@ -124,23 +158,25 @@
 
     # What the store tells.
 
-    def handle(self, message):
-        """Take over what a feed tells."""
+    def handle(self, posted):
+        """Take over what a feed or the group tells."""
         now_ms = self.clock.now_ms()
-        match message:
+        match posted:
             case FeedNews():
-                self._take(message, now_ms)
+                self._take(posted, now_ms)
+            case DomainMembers():
+                self._domain = posted
             case FeedFailed():
                 lost = directory.StoreLost(now_ms)
                 directory.decide(self.directory, lost)
             case _:
-                super().handle(message)
+                super().handle(posted)
 
-    def _take(self, message, now_ms):
-        news = message.news
+    def _take(self, posted, now_ms):
+        news = posted.news
         is_listing = isinstance(news, Listing)
         items = news.items if is_listing else news.written
-        if message.feed == ROUTES:
+        if posted.feed == ROUTES:
             for table in items:
                 self._take_routes(table, now_ms)
             self.routes_revision = max(self.routes_revision, news.revision)
--- /dev/null
+++ b/tests/features/steps/overflow_steps.py
@@ -0,0 +1,60 @@
+"""Steps on the overflow of a failure domain."""
+
+from behave import then
+from behave import when
+
+from liftmount._internal.decisions import overflow
+
+STEP_MS = 200
+CUT = overflow.DomainLoad(9.0, 3, 15, 0)
+WHOLE = overflow.DomainLoad(9.0, 3, 15, 15)
+QUIET = overflow.DomainLoad(0.1, 3, 6, 6)
+
+
+def see(context, loads, interval_ms, is_isolated=False, far_seen=False):
+    """Let a domain see the same loads for some time."""
+    if 'overflow' not in context:
+        context.overflow = overflow.OverflowState()
+        context.now_ms = 10_000
+    until_ms = context.now_ms + interval_ms
+    while context.now_ms < until_ms:
+        context.now_ms += STEP_MS
+        far_seen_ms = context.now_ms if far_seen else 0
+        event = overflow.DomainSeen(
+            loads, is_isolated, far_seen_ms, context.now_ms
+        )
+        overflow.decide(context.overflow, event)
+
+
+@when(
+    'a domain sees for {interval:d} ms: demand {demand:f}, near {near:d}, '
+    'far {far:d} of which {alive:d} answer, isolated {isolated}'
+)
+def domain_sees(context, interval, demand, near, far, alive, isolated):
+    load = overflow.DomainLoad(demand, near, far, alive)
+    see(context, (load,), interval, isolated == 'yes')
+
+
+@when('a domain that is short is cut off for {cut:d} ms, then healed for '
+      '{healed:d} ms')  # fmt: skip
+def cut_then_healed(context, cut, healed):
+    see(context, (WHOLE,), STEP_MS)
+    # The first look that shows the cut begins it.
+    see(context, (CUT,), cut + STEP_MS)
+    if healed:
+        see(context, (WHOLE,), healed + STEP_MS)
+
+
+@when('a domain sees two services, one cut off and short, one not')
+def two_services(context):
+    see(context, (CUT, QUIET), 2_000)
+
+
+@when('a domain that is short gets answers of other targets far away')
+def far_answers(context):
+    see(context, (CUT, QUIET), 2_000, far_seen=True)
+
+
+@then('its clients are handed over: {answer}')
+def handed_over(context, answer):
+    assert context.overflow.is_out == (answer == 'yes'), context.overflow
