Test the program on loopback; survive SIGHUP during a start

SIGHUP before its handler was there ended the process: that scenario failed before. An answer of the store that breaks the reader in a way not thought of no longer ends the feed.

--- a/src/liftmount/_internal/network/http.py
+++ b/src/liftmount/_internal/network/http.py
@@ -185,8 +185,8 @@
         try:
             while await self._serve_one(reader, writer):
                 pass
-        except (OSError, HttpParserError):
-            # The caller broke off or spoke something else: its loss.
+        except (OSError, HttpParserError, asyncio.CancelledError):
+            # The caller broke off or spoke something else, or we stop.
             pass
         finally:
             writer.close()
--- a/src/liftmount/_internal/services/feeds.py
+++ b/src/liftmount/_internal/services/feeds.py
@@ -106,8 +106,15 @@
             )
             return following.HistoryGone()
         except PlatformError as error:
-            self._post(FeedFailed(self.name, str(error)))
-            return following.CallFailed(str(error))
+            return self._failed(str(error))
+        except Exception as error:
+            # Whatever the store sent must not end the feed for good.
+            self.log.write(self.name, 'call_broke', cause=repr(error))
+            return self._failed(repr(error))
+
+    def _failed(self, cause):
+        self._post(FeedFailed(self.name, cause))
+        return following.CallFailed(cause)
 
     async def _list(self, action):
         listing = await self.feed.fetch(
--- a/src/liftmount/platform/__main__.py
+++ b/src/liftmount/platform/__main__.py
@@ -7,6 +7,7 @@
 
 import gc
 import os
+import signal
 import socket
 import sys
 import tomllib
@@ -33,6 +34,9 @@
 
 def start() -> int:
     """Bind, import the rest, and run; return the exit status."""
+    # Until it is handled, this signal would end the process; whatever it
+    # announces is read when the settings are.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
     bound = bind_early(path)
     # Nothing that is imported is ever collected.
--- /dev/null
+++ b/stand_ins/store.py
@@ -0,0 +1,285 @@
+"""Stand-in for the platform's store, by its published protocol.
+
+Objects by kind and name, one counter of revisions, lists, watches that
+wait, conditional writes, finalizers, and the ways in which the store
+fails.  Runs in a thread of the test's own process.
+"""
+
+import asyncio
+from collections import Counter
+import json
+import threading
+
+from aiohttp import web
+from attrs import define
+from attrs import Factory
+
+PAGE_ITEMS = 500
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+# What each kind of trouble answers; None is no answer at all.
+TROUBLES = {'answers 503': 503, 'answers 429': 429, 'says nothing': None}
+BROKEN = b'{"items": 5, "events": [{"object": 3}], "current_rev": "x"}'
+
+
+@define
+class Stored:
+    """An object with its bookkeeping."""
+
+    kind: str
+    name: str
+    spec: object
+    revision: int
+    created_revision: int
+    finalizers: list = Factory(list)
+    status: object = None
+    is_deleting: bool = False
+
+    def document(self) -> dict:
+        """Return the object as the store shows it."""
+        return {
+            'meta': {
+                'name': self.name,
+                'revision': self.revision,
+                'created_rev': self.created_revision,
+                'finalizers': self.finalizers,
+                'deleting': self.is_deleting,
+            },
+            'spec': self.spec,
+            'status': self.status,
+        }
+
+
+class Store:
+    """The store, its history, and who called it for what."""
+
+    def __init__(self):
+        self.objects = {}
+        self.history = []
+        self.revision = 0
+        self.first_kept = 0
+        self.trouble = ''
+        self.calls = Counter()
+        self.watching = Counter()
+        self._changed = asyncio.Condition()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(middlewares=[self._fail])
+        app.add_routes(
+            [
+                web.get('/objects/{kind}', self.list_kind),
+                web.post('/objects/{kind}', self.create),
+                web.get('/objects/{kind}/{name}', self.get_one),
+                web.put('/objects/{kind}/{name}', self.replace),
+                web.put('/objects/{kind}/{name}/status', self.set_status),
+                web.delete('/objects/{kind}/{name}', self.delete),
+            ]
+        )
+        return app
+
+    @web.middleware
+    async def _fail(self, request, handler):
+        self.calls[request.remote] += 1
+        if self.trouble == 'resets connections':
+            request.transport.abort()
+        elif self.trouble == 'sends broken documents':
+            return web.Response(body=BROKEN)
+        elif self.trouble in TROUBLES:
+            status = TROUBLES[self.trouble]
+            if status is None:
+                await asyncio.sleep(3_600)
+            return web.Response(status=status)
+        return await handler(request)
+
+    # Changes.
+
+    async def write(self, kind: str, name: str, spec) -> Stored:
+        """Create or replace an object, as operators and targets do."""
+        known = self.objects.get((kind, name))
+        created = known.created_revision if known else self.revision + 1
+        stored = Stored(kind, name, spec, self.revision + 1, created)
+        self.objects[kind, name] = stored
+        await self._changed_to(stored, False)
+        return stored
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object, whatever its finalizers."""
+        stored = self.objects.pop((kind, name))
+        stored.revision = self.revision + 1
+        await self._changed_to(stored, True)
+
+    async def _changed_to(self, stored, is_gone):
+        async with self._changed:
+            self.revision += 1
+            event = {'object': stored.document(), 'tombstone': is_gone}
+            self.history.append((self.revision, stored.kind, event))
+            self._changed.notify_all()
+
+    def forget(self) -> None:
+        """Forget all history."""
+        self.history.clear()
+        self.first_kept = self.revision
+
+    # Reading.
+
+    async def list_kind(self, request):
+        """List a kind, or wait for what changes in it."""
+        kind = request.match_info['kind']
+        if 'watch' in request.query:
+            return await self._watch(request, kind)
+        after = request.query.get('after', '')
+        names = sorted(
+            name for one, name in self.objects if one == kind and name > after
+        )
+        page = names[:PAGE_ITEMS]
+        items = [self.objects[kind, name].document() for name in page]
+        return web.json_response(
+            {
+                'items': items,
+                'more_pages': len(names) > len(page),
+                'current_rev': self.revision,
+            }
+        )
+
+    async def _watch(self, request, kind):
+        since = int(request.query['watch'])
+        wait_s = int(request.query['wait_ms']) / 1_000
+        if since < self.first_kept:
+            return web.Response(status=HTTP_GONE)
+        self.watching[request.remote] += 1
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                await self._changed.wait_for(lambda: self._events(kind, since))
+        except TimeoutError:
+            pass
+        finally:
+            self.watching[request.remote] -= 1
+        if since < self.first_kept:
+            return web.Response(status=HTTP_GONE)
+        return web.json_response(
+            {
+                'events': self._events(kind, since),
+                'current_rev': self.revision,
+            }
+        )
+
+    def _events(self, kind, since):
+        return [
+            event
+            for revision, one, event in self.history
+            if one == kind and revision > since
+        ]
+
+    async def get_one(self, request):
+        """Return one object."""
+        stored = self._find(request)
+        return web.json_response(stored.document())
+
+    def _find(self, request):
+        key = request.match_info['kind'], request.match_info['name']
+        if key not in self.objects:
+            raise web.HTTPNotFound()
+        return self.objects[key]
+
+    # Writing.
+
+    async def create(self, request):
+        """Make an object that is not there yet."""
+        kind = request.match_info['kind']
+        document = await request.json()
+        name = document['meta']['name']
+        if (kind, name) in self.objects:
+            return self._conflict(self.objects[kind, name])
+        stored = await self.write(kind, name, document.get('spec'))
+        stored.finalizers = document['meta'].get('finalizers', [])
+        return web.json_response(stored.document())
+
+    async def replace(self, request):
+        """Replace spec and finalizers, if the revision still holds."""
+        stored = self._find(request)
+        document = await request.json()
+        meta = document.get('meta') or {}
+        if meta.get('revision', stored.revision) != stored.revision:
+            return self._conflict(stored)
+        finalizers = meta.get('finalizers', stored.finalizers)
+        same = (stored.spec, stored.finalizers) == (
+            document.get('spec'),
+            finalizers,
+        )
+        if not same:
+            stored.spec = document.get('spec')
+            stored.finalizers = finalizers
+            await self._touch(stored)
+        return web.json_response(stored.document())
+
+    async def set_status(self, request):
+        """Replace the status."""
+        stored = self._find(request)
+        document = await request.json()
+        if stored.status != document.get('status'):
+            stored.status = document.get('status')
+            await self._touch(stored)
+        return web.json_response(stored.document())
+
+    async def _touch(self, stored):
+        stored.revision = self.revision + 1
+        await self._changed_to(stored, False)
+
+    async def delete(self, request):
+        """Remove an object, or mark it while it has finalizers."""
+        stored = self._find(request)
+        wanted = int(request.query.get('revision', stored.revision))
+        if wanted != stored.revision:
+            return self._conflict(stored)
+        if stored.finalizers:
+            stored.is_deleting = True
+            await self._touch(stored)
+        else:
+            await self.remove(stored.kind, stored.name)
+        return web.json_response(stored.document())
+
+    @staticmethod
+    def _conflict(stored):
+        return web.json_response(stored.document(), status=HTTP_CONFLICT)
+
+
+class StoreThread:
+    """Runs a store on an address, in a thread with a loop of its own."""
+
+    def __init__(self, ip: str, port: int):
+        self.address = f'{ip}:{port}'
+        self.store = None
+        self._loop = asyncio.new_event_loop()
+        self._ready = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, args=(ip, port), daemon=True
+        )
+        self._thread.start()
+        self._ready.wait(10)
+
+    def _run(self, ip, port):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._serve(ip, port))
+        self._loop.run_forever()
+
+    async def _serve(self, ip, port):
+        self.store = Store()
+        runner = web.AppRunner(self.store.application(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, ip, port).start()
+        self._ready.set()
+
+    def call(self, coroutine):
+        """Run a coroutine of the store in its thread; return its result."""
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return future.result(10)
+
+    def write(self, kind: str, name: str, spec) -> None:
+        """Create or replace an object."""
+        self.call(self.store.write(kind, name, json.loads(json.dumps(spec))))
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
--- /dev/null
+++ b/tests/features/steps/process_steps.py
@@ -0,0 +1,412 @@
+"""Steps on real processes against stand-ins of the platform."""
+
+import json
+import os
+from pathlib import Path
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.error
+import urllib.request
+
+from behave import given
+from behave import then
+from behave import when
+import tomli_w
+
+from liftmount.platform import heads
+from liftmount.platform.settings import METRICS_PORT
+from stand_ins.addresses import make_run_addresses
+from stand_ins.store import StoreThread
+
+SYN = 2
+ACK = 128
+BALANCER_GROUP = 1
+TARGET_GROUP = 20
+CLIENT_GROUP = 30
+STORE_GROUP = 40
+PACKETS, READY, PEER, STORE, TARGET = range(5)
+PROBE_S = 0.5
+PATIENCE_S = 12.0
+CLOSED_S = 6.0
+
+
+class TargetThread:
+    """A target: keeps what it got, and answers openings."""
+
+    def __init__(self, number, ip, port, client_port):
+        self.number = number
+        self.got = []
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((ip, port))
+        self.address = f'{ip}:{port}'
+        self._client_port = client_port
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        while True:
+            try:
+                data = self.socket.recv(2_048)
+            except OSError:
+                return
+            if int.from_bytes(data[:8], 'big') != self.number:
+                continue
+            packet = data[8:]
+            self.got.append(packet)
+            segment = heads.read(packet)
+            if segment.opens:
+                answer = heads.HEAD.pack(
+                    1_000,
+                    segment.sequence + 1,
+                    0,
+                    *heads.HEAD.unpack_from(packet)[5:7],
+                    *heads.HEAD.unpack_from(packet)[3:5],
+                    segment.tag,
+                    0,
+                    SYN | ACK,
+                    0,
+                )
+                client = (segment.client.ip, self._client_port)
+                self.socket.sendto(answer, client)
+
+
+class BalancerProcess:
+    """A real balancer, its settings and its log."""
+
+    def __init__(self, context, index, domain):
+        self.ip = context.run.ip(BALANCER_GROUP, index)
+        self.directory = context.directory / f'balancer-{index}'
+        self.directory.mkdir()
+        self.path = self.directory / 'settings.toml'
+        self.log_path = self.directory / 'log'
+        base = context.run.first_port
+        seed = f'{context.run.ip(BALANCER_GROUP, 1)}:{base + PEER}'
+        self.settings = {
+            'node_name': f'balancer-{index}',
+            'zone': domain,
+            'ephemeral_ports': [base + PEER, base + PEER],
+            'seeds': [seed],
+            'listen': {
+                'packets': f'{self.ip}:{base + PACKETS}',
+                'ready': f'{self.ip}:{base + READY}',
+            },
+            'bounds': {'grace_s': 6, 'max_flow_s': 60},
+            'platform': {'address': context.store.address},
+        }
+        self.write_settings()
+        environment = dict(os.environ, LIFTMOUNT_CONFIG=str(self.path))
+        # A thread of its own keeps the pipe empty.
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'liftmount.platform'],
+            env=environment,
+            stdout=self.log_path.open('wb'),
+            stderr=subprocess.STDOUT,
+        )
+
+    def write_settings(self, text=None):
+        """Write the settings file, whole."""
+        data = text or tomli_w.dumps(self.settings)
+        part = self.path.with_suffix('.new')
+        part.write_text(data)
+        part.rename(self.path)
+
+    def ready(self):
+        """Return status and reason of readiness; (0, '') without answer."""
+        url = f'http://{self.settings["listen"]["ready"]}/ready'
+        try:
+            with urllib.request.urlopen(url, timeout=PROBE_S) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read().decode()
+        except OSError:
+            return 0, ''
+
+    def events(self, event):
+        """Return the lines of the log with an event."""
+        lines = []
+        for line in self.log_path.read_text().splitlines():
+            if line.startswith('{') and f'"event": "{event}"' in line:
+                lines.append(json.loads(line))
+        return lines
+
+    def stop(self):
+        """End the process, at once."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+
+class PlatformDeployment:
+    """What a scenario started; environment.py stops it."""
+
+    def __init__(self, store):
+        self.store = store
+        self.targets = []
+        self.balancers = []
+
+    def stop(self):
+        """End processes, threads and sockets."""
+        for balancer in self.balancers:
+            balancer.stop()
+        for target in self.targets:
+            target.socket.close()
+        self.store.stop()
+
+
+def wait_until(condition, limit_s=PATIENCE_S):
+    """Wait for a condition; return whether it came true."""
+    until = time.monotonic() + limit_s
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(0.02)
+    return bool(condition())
+
+
+@given('a store with {count:d} targets of {service} in domain {domain}')
+def store_with_targets(context, count, service, domain):
+    context.run = make_run_addresses()
+    base = context.run.first_port
+    context.store = StoreThread(context.run.ip(STORE_GROUP, 1), base + STORE)
+    context.deployment = PlatformDeployment(context.store)
+    for index in range(1, count + 1):
+        target = TargetThread(
+            0x1000 + index,
+            context.run.ip(TARGET_GROUP, index),
+            base + TARGET,
+            base + PACKETS,
+        )
+        context.deployment.targets.append(target)
+        entry = {
+            'backend': service,
+            'address': target.address,
+            'zone': domain,
+            'version': 'v1',
+            'capacity': 3,
+            'state': 'ready',
+            'warmup_left_ms': 0,
+            'sequence': 1,
+        }
+        context.store.write('servers', f'i-{target.number:x}', entry)
+
+
+@given('the configuration version {version:d} leads {address} to {service}')
+@when('the configuration version {version:d} leads {address} to {service}')
+def write_configuration(context, version, address, service):
+    ip, _colon, port = address.partition(':')
+    route = {
+        'name': 'one',
+        'host': ip,
+        'path_prefix': f'/{port}/',
+        'type': 'idempotent',
+        'backend': service,
+    }
+    document = {
+        'version': version,
+        'routes': [route],
+        'backends': [{'name': service, 'health_check_path': '/health'}],
+        'limits': {'idle_timeout_ms': 15_000},
+    }
+    context.store.write('config', 'main', document)
+
+
+def start_balancer(context, domain):
+    """Start one more balancer."""
+    index = len(context.deployment.balancers) + 1
+    balancer = BalancerProcess(context, index, domain)
+    context.deployment.balancers.append(balancer)
+    context.balancer = balancer
+    return balancer
+
+
+@given('a balancer in domain {domain} that is ready')
+@given('a second balancer in domain {domain} that is ready')
+def balancer_ready(context, domain):
+    balancer = start_balancer(context, domain)
+    assert wait_until(lambda: balancer.ready()[0] == 200), balancer.ready()
+
+
+@given('{count:d} balancers in domain {domain} that are ready')
+def balancers_ready(context, count, domain):
+    for _ in range(count):
+        start_balancer(context, domain)
+    for balancer in context.deployment.balancers:
+        assert wait_until(lambda one=balancer: one.ready()[0] == 200)
+
+
+@given('a balancer in domain {domain} that is not ready')
+def balancer_not_ready(context, domain):
+    balancer = start_balancer(context, domain)
+    assert wait_until(lambda: balancer.ready()[0] == 503), balancer.ready()
+
+
+@given('the store answers nothing')
+def store_silent(context):
+    context.store.store.trouble = 'says nothing'
+
+
+@when('the store {trouble} for {interval:d} ms')
+def store_trouble(context, trouble, interval):
+    store = context.store.store
+    if trouble == 'forgets its history':
+        write_configuration(context, 7, '127.0.1.2:8443', 'guide')
+        store.forget()
+        return
+    store.trouble = trouble
+    time.sleep(interval / 1_000)
+    store.trouble = ''
+
+
+@then('it says "{reason}"')
+def says_reason(context, reason):
+    assert context.balancer.ready() == (503, reason), context.balancer.ready()
+
+
+@when('a client opens a flow to {address} and sends {count:d} segments')
+def client_flow(context, address, count):
+    ip, _colon, port = address.partition(':')
+    base = context.run.first_port
+    own_ip = context.run.ip(CLIENT_GROUP, 1)
+    balancer = (context.balancer.ip, base + PACKETS)
+    numbers = [
+        int.from_bytes(socket.inet_aton(one), 'big') for one in (ip, own_ip)
+    ]
+    ends = (numbers[0], int(port), numbers[1], 40_001)
+    context.sent = []
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as client:
+        client.bind((own_ip, base + PACKETS))
+        client.settimeout(PATIENCE_S)
+        opening = heads.HEAD.pack(10, 0, 0, *ends, 0, 77, SYN, 0)
+        client.sendto(opening, balancer)
+        tag = heads.read(client.recv(2_048)).tag
+        for index in range(count):
+            payload = f'part {index}'.encode()
+            head = heads.HEAD.pack(
+                11 + index, 1_001, len(payload), *ends, tag, 78, ACK, 0
+            )
+            context.sent.append(head + payload)
+            client.sendto(head + payload, balancer)
+            time.sleep(0.01)
+
+
+@then('one target got all of them, in the form that the client wrote')
+def one_target_got_all(context):
+    def holders():
+        return [
+            one
+            for one in context.deployment.targets
+            if one.got[1:] == context.sent
+        ]
+
+    assert wait_until(lambda: len(holders()) == 1), [
+        len(one.got) for one in context.deployment.targets
+    ]
+    others = [one for one in context.deployment.targets if not one.got]
+    assert len(others) == len(context.deployment.targets) - 1
+
+
+@when('{interval:d} ms go by')
+def time_goes_by(_context, interval):
+    time.sleep(interval / 1_000)
+
+
+@then('all balancers hold version {version:d} within {limit:d} ms')
+def all_hold_version(context, version, limit):
+    def held():
+        return all(
+            any(
+                line['in_force'] == version
+                for line in one.events('configuration')
+            )
+            for one in context.deployment.balancers
+        )
+
+    assert wait_until(held, limit / 1_000)
+
+
+@then('one balancer alone reads the store')
+def one_reads(context):
+    def watchers():
+        watching = context.store.store.watching
+        return [ip for ip, count in watching.items() if count]
+
+    assert wait_until(lambda: len(watchers()) == 1), watchers()
+
+
+@when('it gets SIGTERM while the fabric asks for readiness twice a second')
+def gets_sigterm(context):
+    balancer = context.balancer
+    balancer.process.send_signal(signal.SIGTERM)
+    context.stopped = time.monotonic()
+    context.statuses = []
+    while balancer.process.poll() is None:
+        context.statuses.append(balancer.ready()[0])
+        if time.monotonic() - context.stopped > 2 * CLOSED_S:
+            break
+        time.sleep(PROBE_S)
+    context.lasted_ms = 1_000 * (time.monotonic() - context.stopped)
+
+
+@then('it answered 503 twice or more, and ended with status 0 within '
+      '{limit:d} ms')  # fmt: skip
+def ended_well(context, limit):
+    assert context.statuses.count(503) >= 2, context.statuses
+    assert context.balancer.process.poll() == 0
+    assert context.lasted_ms <= limit, context.lasted_ms
+
+
+@when('its settings file becomes {kind} and it gets SIGHUP')
+def settings_become(context, kind):
+    balancer = context.balancer
+    if kind == 'good':
+        balancer.settings['bounds']['max_flow_s'] = 90
+        balancer.write_settings()
+    else:
+        balancer.write_settings('zone = [')
+    balancer.process.send_signal(signal.SIGHUP)
+
+
+@then('it says "{event}", and still serves')
+def says_event(context, event):
+    assert wait_until(lambda: context.balancer.events(event))
+    assert context.balancer.ready()[0] == 200
+
+
+@when('a balancer in domain {domain} gets SIGHUP from its first moment on')
+def sighup_early(context, domain):
+    balancer = start_balancer(context, domain)
+    # The interpreter itself has to be up; what follows is ours.
+    path = Path(f'/proc/{balancer.process.pid}/maps')
+    wait_until(lambda: 'python' in path.read_text())
+    time.sleep(0.1)
+    for _ in range(100):
+        balancer.process.send_signal(signal.SIGHUP)
+        time.sleep(0.01)
+
+
+@then('it becomes ready')
+def becomes_ready(context):
+    assert wait_until(lambda: context.balancer.ready()[0] == 200)
+
+
+@then('its metrics show at least {count:d} placed flow and a version of '
+      '{version:d}')  # fmt: skip
+def metrics_show(context, count, version):
+    url = f'http://{context.balancer.ip}:{METRICS_PORT}/metrics'
+
+    def figures():
+        try:
+            with urllib.request.urlopen(url, timeout=PROBE_S) as answer:
+                lines = answer.read().decode().splitlines()
+        except OSError:
+            return {}
+        return dict(line.rsplit(' ', 1) for line in lines)
+
+    assert wait_until(figures), 'no metrics'
+    found = figures()
+    placed = found['liftmount_placed_total{reason="repeatable"}']
+    assert int(placed) >= count, found
+    assert found['liftmount_configuration_version'] == str(version), found
