--- /dev/null
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -0,0 +1,197 @@
+"""Flows as a balancer has seen them, and the load they make.
+
+The table is a cache: it spreads load, pins a flow whose opening went to two
+targets, and gives evidence on targets.  A segment is routed without it.
+"""
+
+from collections import deque
+from enum import Enum
+
+from attrs import define
+from attrs import Factory
+
+from liftmount._internal.decisions.flow_tags import TagTable
+from liftmount._internal.decisions.overflow import DomainLoad
+from liftmount._internal.decisions.pool import Pool
+from liftmount._internal.decisions.pool import TargetLoad
+from liftmount._internal.decisions.target_health import TargetHealth
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import Segment
+
+# Part of its weight that a target of another failure domain loses: a flow
+# stays in its own domain until the targets there carry twice as much.
+REMOTE_PENALTY = 0.5
+# How fast the busy share of a target fades: some ten requests long.
+BUSY_FADE_MS = 1_500
+
+
+class Phase(Enum):
+    """Where a flow stands, as far as this balancer can tell."""
+
+    OPENING = 'opening'
+    OPEN = 'open'
+    CLOSED = 'closed'
+
+
+@define
+class Flow:
+    """A flow as this balancer has seen it.
+
+    ``tried`` names the targets that its opening went to; ``opening`` is
+    that segment while it may be sent to another one.  ``sent`` is the
+    sequence number after the last new byte.  ``resends``
+    counts segments sent again without progress since.
+    ``is_working`` tells whether a request seems to be under way, since
+    ``working_ms``.
+    """
+
+    key: bytes
+    route: Route
+    client: Endpoint
+    address: Endpoint
+    phase: Phase
+    opened_ms: int
+    seen_ms: int
+    target: str = ''
+    tag: int = 0
+    tried: tuple[str, ...] = ()
+    opening: Segment | None = None
+    tried_ms: int = 0
+    sent: int = 0
+    acknowledged: int = 0
+    resends: int = 0
+    is_working: bool = False
+    working_ms: int = 0
+
+
+@define
+class ForwardingState:
+    """Routes, targets, pools by service, flows, and evidence.
+
+    ``former`` holds when a target that is gone may be forgotten; ``seed``
+    makes the choices of balancers differ.  ``far_seen_ms`` is when a flow
+    to a target of another failure domain last showed progress.
+    """
+
+    failure_domain: str
+    flow_max_age_ms: int
+    seed: int = 1
+    table: RouteTable | None = None
+    has_targets: bool = False
+    tags: TagTable = Factory(TagTable)
+    pools: dict[str, Pool] = Factory(dict)
+    former: dict[str, int] = Factory(dict)
+    health: TargetHealth = Factory(TargetHealth)
+    flows: dict[bytes, Flow] = Factory(dict)
+    opening: deque = Factory(deque)
+    held: deque = Factory(deque)
+    far_seen_ms: int = 0
+    next_sweep_ms: int = 0
+    ticked_ms: int = 0
+    turn: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether routes and targets are known."""
+        return self.table is not None and self.has_targets
+
+    def pool(self, service: str) -> Pool:
+        """Return the pool of a service."""
+        found = self.pools.get(service)
+        if found is None:
+            found = Pool(
+                service,
+                failure_domain=self.failure_domain,
+                remote_penalty=REMOTE_PENALTY,
+                fade_ms=BUSY_FADE_MS,
+                seed=self.seed,
+            )
+            self.pools[service] = found
+        return found
+
+
+def move_flow(state: ForwardingState, flow: Flow, target: str, now_ms) -> None:
+    """Note that a flow is at another target now."""
+    was_working = flow.is_working
+    note_work(state, flow, False, now_ms)
+    _count(state, flow.target, -1)
+    flow.target = target
+    _count(state, target, 1)
+    note_work(state, flow, was_working, now_ms)
+
+
+def _count(state, target, step):
+    load = load_of(state, target)
+    if load is not None:
+        load.open_streams = max(0, load.open_streams + step)
+
+
+def load_of(state: ForwardingState, target: str) -> TargetLoad | None:
+    """Return the load of a target, None when it is in no pool."""
+    entry = state.tags.entries.get(target)
+    if entry is None:
+        return None
+    return state.pool(entry.service).targets.get(target)
+
+
+def note_work(
+    state: ForwardingState, flow: Flow, is_working: bool, now_ms: int
+) -> None:
+    """Note that a flow's request began or ended."""
+    if is_working:
+        flow.working_ms = now_ms
+    if flow.is_working == is_working:
+        return
+    flow.is_working = is_working
+    if load_of(state, flow.target) is None:
+        return
+    pool = state.pool(state.tags.entries[flow.target].service)
+    if is_working:
+        pool.started(flow.target, now_ms)
+    else:
+        pool.finished(flow.target, now_ms)
+
+
+def close_flow(state: ForwardingState, flow: Flow, now_ms: int) -> None:
+    """Note that a flow is at its end; its last segments may follow."""
+    if flow.phase is not Phase.CLOSED:
+        note_work(state, flow, False, now_ms)
+        _count(state, flow.target, -1)
+        flow.phase = Phase.CLOSED
+
+
+def end_flow(state: ForwardingState, flow: Flow, now_ms: int) -> None:
+    """Forget a flow."""
+    close_flow(state, flow, now_ms)
+    state.flows.pop(flow.key, None)
+
+
+def domain_loads(state: ForwardingState, members: int, now_ms: int) -> tuple:
+    """Return a DomainLoad for each service with targets.
+
+    This balancer sees its own part of the load; its domain has as many
+    times that as it has ``members``.
+    """
+    return tuple(
+        _domain_load(state, pool, members, now_ms)
+        for pool in state.pools.values()
+        if pool.targets
+    )
+
+
+def _domain_load(state, pool, members, now_ms):
+    demand = 0.0
+    near = far = far_alive = 0
+    for one in pool.targets.values():
+        demand += one.busy.update(one.in_progress, now_ms)
+        if one.leaving:
+            continue
+        is_dead = state.health.is_dead(one.name)
+        if one.failure_domain == state.failure_domain:
+            near += 0 if is_dead else one.slots
+        else:
+            far += one.slots
+            far_alive += 0 if is_dead else one.slots
+    return DomainLoad(demand * members, near, far, far_alive)
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -7,34 +7,35 @@
 whose opening went to two targets, and gives evidence on targets.
 """
 
-from collections import deque
-from enum import Enum
-
-from attrs import define
-from attrs import Factory
-
-from liftmount._internal.decisions.flow_tags import TagTable
-from liftmount._internal.decisions.overflow import DomainLoad
+from liftmount._internal.decisions.flow_table import close_flow
+from liftmount._internal.decisions.flow_table import end_flow
+from liftmount._internal.decisions.flow_table import Flow
+from liftmount._internal.decisions.flow_table import ForwardingState
+from liftmount._internal.decisions.flow_table import move_flow
+from liftmount._internal.decisions.flow_table import note_work
+from liftmount._internal.decisions.flow_table import Phase
 from liftmount._internal.decisions.pool import flow_cost
-from liftmount._internal.decisions.pool import Pool
 from liftmount._internal.decisions.pool import TargetInfo
-from liftmount._internal.decisions.target_health import TargetHealth
 from liftmount._internal.decisions.target_health import TargetSeen
 from liftmount._internal.decisions.target_health import TargetSilent
-from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.flow_messages import Answered
+from liftmount._internal.models.flow_messages import Drop
+from liftmount._internal.models.flow_messages import Forward
+from liftmount._internal.models.flow_messages import Placed
+from liftmount._internal.models.flow_messages import RefusalReason
+from liftmount._internal.models.flow_messages import Refuse
+from liftmount._internal.models.flow_messages import RoutesChanged
+from liftmount._internal.models.flow_messages import SegmentArrived
+from liftmount._internal.models.flow_messages import TargetDied
+from liftmount._internal.models.flow_messages import TargetPut
+from liftmount._internal.models.flow_messages import TargetRemoved
+from liftmount._internal.models.flow_messages import TargetsNeeded
+from liftmount._internal.models.flow_messages import TargetsSettled
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
-from liftmount._internal.models.segments import Route
-from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.segments import Segment
-from liftmount._internal.models.segments import TargetEntry
 from liftmount._internal.models.ticks import Tick
 
-# Part of its weight that a target of another failure domain loses: a flow
-# stays in its own domain until the targets there carry twice as much.
-REMOTE_PENALTY = 0.5
-# How fast the busy share of a target fades: some ten requests long.
-BUSY_FADE_MS = 1_500
 # Segments sent again without progress before they speak against a target.
 # Targets acknowledge every second segment, so a request of one segment is
 # sent again whenever its answer takes longer than 200 ms.
@@ -64,213 +65,6 @@
 HALF_SEQUENCE = 2**31
 
 
-class RefusalReason(Enum):
-    """Why a segment was answered by a reset, or dropped."""
-
-    NO_ROUTE = 'no_route'
-    NO_TARGET = 'no_target'
-    ROUTE_DROPPED = 'route_dropped'
-    TARGET_DEAD = 'target_dead'
-    TARGET_GONE = 'target_gone'
-    UNKNOWN_TAG = 'unknown_tag'
-    HELD_TOO_LONG = 'held_too_long'
-
-
-class Phase(Enum):
-    """Where a flow stands, as far as this balancer can tell."""
-
-    OPENING = 'opening'
-    OPEN = 'open'
-    CLOSED = 'closed'
-
-
-@message
-class SegmentArrived(Message):
-    """A client's segment arrived."""
-
-    segment: Segment
-    now_ms: int
-
-
-@message
-class TargetPut(Message):
-    """A target is there; ``is_doubted`` if its entry vanished."""
-
-    entry: TargetEntry
-    now_ms: int
-    is_doubted: bool = False
-
-
-@message
-class TargetsSettled(Message):
-    """All that the store told at once about targets is taken over.
-
-    What waited for targets is decided on now; after the first of many it
-    would all go to that one.
-    """
-
-    now_ms: int
-
-
-@message
-class TargetRemoved(Message):
-    """A target has ended; its flows may be under way still."""
-
-    name: str
-    now_ms: int
-
-
-@message
-class TargetDied(Message):
-    """A target answers no more, or does again."""
-
-    name: str
-    is_dead: bool
-    now_ms: int
-
-
-@message
-class RoutesChanged(Message):
-    """A newer configuration is in force."""
-
-    table: RouteTable
-    now_ms: int
-
-
-@define(eq=False, repr=False)
-class Forward(Message):
-    """Send a segment on to a target, with a tag that names it."""
-
-    segment: Segment
-    target: TargetEntry
-    tag: int
-
-
-@message
-class Placed(Message):
-    """A new flow was placed; ``tries`` counts the targets so far."""
-
-    segment: Segment
-    route: Route
-    target: TargetEntry
-    tries: int
-    load: float
-
-
-@message
-class Refuse(Message):
-    """Answer the client with a reset: ``sequence`` is its number."""
-
-    flow: bytes
-    client: Endpoint
-    address: Endpoint
-    sequence: int
-    reason: RefusalReason
-    target: str = ''
-
-
-@message
-class Drop(Message):
-    """A segment was dropped without an answer."""
-
-    segment: Segment
-    reason: RefusalReason
-
-
-@message
-class TargetsNeeded(Message):
-    """A segment names a target that is not known here."""
-
-    segment: Segment
-
-
-@message
-class Answered(Message):
-    """A flow opened after ``latency_ms`` at a target."""
-
-    target: str
-    route: Route
-    latency_ms: int
-    tries: int
-
-
-@define
-class Flow:
-    """A flow as this balancer has seen it.
-
-    ``tried`` names the targets that its opening went to; ``opening`` is
-    that segment while it may be sent to another one.  ``sent`` is the
-    sequence number after the last new byte.  ``resends``
-    counts segments sent again without progress since.
-    ``is_working`` tells whether a request seems to be under way, since
-    ``working_ms``.
-    """
-
-    key: bytes
-    route: Route
-    client: Endpoint
-    address: Endpoint
-    phase: Phase
-    opened_ms: int
-    seen_ms: int
-    target: str = ''
-    tag: int = 0
-    tried: tuple[str, ...] = ()
-    opening: Segment | None = None
-    tried_ms: int = 0
-    sent: int = 0
-    acknowledged: int = 0
-    resends: int = 0
-    is_working: bool = False
-    working_ms: int = 0
-
-
-@define
-class ForwardingState:
-    """Routes, targets, pools by service, flows, and evidence.
-
-    ``former`` holds when a target that is gone may be forgotten; ``seed``
-    makes the choices of balancers differ.  ``far_seen_ms`` is when a flow
-    to a target of another failure domain last showed progress.
-    """
-
-    failure_domain: str
-    flow_max_age_ms: int
-    seed: int = 1
-    table: RouteTable | None = None
-    has_targets: bool = False
-    tags: TagTable = Factory(TagTable)
-    pools: dict[str, Pool] = Factory(dict)
-    former: dict[str, int] = Factory(dict)
-    health: TargetHealth = Factory(TargetHealth)
-    flows: dict[bytes, Flow] = Factory(dict)
-    opening: deque = Factory(deque)
-    held: deque = Factory(deque)
-    far_seen_ms: int = 0
-    next_sweep_ms: int = 0
-    ticked_ms: int = 0
-    turn: int = 0
-
-    @property
-    def is_complete(self) -> bool:
-        """Tell whether routes and targets are known."""
-        return self.table is not None and self.has_targets
-
-    def pool(self, service: str) -> Pool:
-        """Return the pool of a service."""
-        found = self.pools.get(service)
-        if found is None:
-            found = Pool(
-                service,
-                failure_domain=self.failure_domain,
-                remote_penalty=REMOTE_PENALTY,
-                fade_ms=BUSY_FADE_MS,
-                seed=self.seed,
-            )
-            self.pools[service] = found
-        return found
-
-
 def decide(state: ForwardingState, event) -> list:
     """Return the actions for an event.
 
@@ -296,35 +90,6 @@
     raise TypeError(f'unknown event {event!r}')
 
 
-def domain_loads(state: ForwardingState, members: int, now_ms: int) -> tuple:
-    """Return a DomainLoad for each service with targets.
-
-    This balancer sees its own part of the load; its domain has as many
-    times that as it has ``members``.
-    """
-    return tuple(
-        _domain_load(state, pool, members, now_ms)
-        for pool in state.pools.values()
-        if pool.targets
-    )
-
-
-def _domain_load(state, pool, members, now_ms):
-    demand = 0.0
-    near = far = far_alive = 0
-    for one in pool.targets.values():
-        demand += one.busy.update(one.in_progress, now_ms)
-        if one.leaving:
-            continue
-        is_dead = state.health.is_dead(one.name)
-        if one.failure_domain == state.failure_domain:
-            near += 0 if is_dead else one.slots
-        else:
-            far += one.slots
-            far_alive += 0 if is_dead else one.slots
-    return DomainLoad(demand * members, near, far, far_alive)
-
-
 def _segment(state, segment, now_ms):
     if state.table is None:
         return _hold(state, segment, now_ms)
@@ -341,7 +106,7 @@
 
 def _without_route(state, segment, flow, now_ms):
     if flow is not None:
-        _end(state, flow, now_ms)
+        end_flow(state, flow, now_ms)
     if segment.resets:
         return []
     reason = RefusalReason.NO_ROUTE
@@ -400,8 +165,8 @@
         return _nowhere(state, segment, flow, now_ms)
     entry = state.tags.entries[chosen.name]
     load = flow_cost(chosen, now_ms)
-    _move(state, flow, chosen.name, now_ms)
-    _work(state, flow, True, now_ms)
+    move_flow(state, flow, chosen.name, now_ms)
+    note_work(state, flow, True, now_ms)
     flow.tag = state.tags.tag_for(chosen.name)
     flow.tried = (*flow.tried, chosen.name)
     flow.tried_ms = now_ms
@@ -433,48 +198,10 @@
         if entry is not None and not state.health.is_dead(flow.target):
             flow.tried_ms = now_ms
             return [Forward(segment, entry, flow.tag)]
-    _end(state, flow, now_ms)
+    end_flow(state, flow, now_ms)
     return [_refuse(segment, RefusalReason.NO_TARGET)]
 
 
-def _move(state, flow, target, now_ms):
-    was_working = flow.is_working
-    _work(state, flow, False, now_ms)
-    _count(state, flow.target, -1)
-    flow.target = target
-    _count(state, target, 1)
-    _work(state, flow, was_working, now_ms)
-
-
-def _count(state, target, step):
-    load = _load(state, target)
-    if load is not None:
-        load.open_streams = max(0, load.open_streams + step)
-
-
-def _load(state, target):
-    entry = state.tags.entries.get(target)
-    if entry is None:
-        return None
-    return state.pool(entry.service).targets.get(target)
-
-
-def _work(state, flow, is_working, now_ms):
-    """Note that a flow's request began or ended."""
-    if is_working:
-        flow.working_ms = now_ms
-    if flow.is_working == is_working:
-        return
-    flow.is_working = is_working
-    if _load(state, flow.target) is None:
-        return
-    pool = state.pool(state.tags.entries[flow.target].service)
-    if is_working:
-        pool.started(flow.target, now_ms)
-    else:
-        pool.finished(flow.target, now_ms)
-
-
 # Segments of flows that are open, or seem so.
 
 
@@ -496,7 +223,7 @@
         acknowledged=segment.acknowledgement,
     )
     state.flows[segment.flow] = flow
-    _move(state, flow, entry.name, now_ms)
+    move_flow(state, flow, entry.name, now_ms)
     return _follow(state, segment, flow, now_ms)
 
 
@@ -518,19 +245,19 @@
         actions += _opened(state, segment, flow, now_ms)
     entry = state.tags.entries.get(flow.target)
     if entry is None:
-        _end(state, flow, now_ms)
+        end_flow(state, flow, now_ms)
         return [*actions, _refuse(segment, RefusalReason.TARGET_GONE)]
     actions += _note_progress(state, segment, flow, now_ms)
     flow.seen_ms = now_ms
     is_stuck = flow.resends >= RESENDS_TO_DOUBT
     if segment.resets or segment.closes:
-        _close(state, flow, now_ms)
+        close_flow(state, flow, now_ms)
     elif state.health.is_dead(flow.target):
-        _end(state, flow, now_ms)
+        end_flow(state, flow, now_ms)
         reason = RefusalReason.TARGET_DEAD
         return [*actions, _refuse(segment, reason, flow.target)]
     elif is_stuck and flow.target in state.former:
-        _end(state, flow, now_ms)
+        end_flow(state, flow, now_ms)
         reason = RefusalReason.TARGET_GONE
         return [*actions, _refuse(segment, reason, flow.target)]
     actions.append(Forward(segment, entry, flow.tag))
@@ -545,7 +272,7 @@
     flow.acknowledged = segment.acknowledgement
     named = _named_by(state, segment, flow.route)
     if named is not None and named.name != flow.target:
-        _move(state, flow, named.name, now_ms)
+        move_flow(state, flow, named.name, now_ms)
     if named is not None:
         flow.tag = segment.tag
     return [
@@ -566,12 +293,12 @@
         flow.resends = 0
         _note_far(state, flow, now_ms)
         # An answer is on its way, or another request began.
-        _work(state, flow, _is_new(segment, flow), now_ms)
+        note_work(state, flow, _is_new(segment, flow), now_ms)
         return [TargetSeen(flow.target, now_ms)]
     if not segment.length_bytes:
         return []
     if _is_new(segment, flow):
-        _work(state, flow, True, now_ms)
+        note_work(state, flow, True, now_ms)
         return []
     flow.resends += 1
     if flow.resends < RESENDS_TO_DOUBT:
@@ -597,18 +324,6 @@
     return True
 
 
-def _close(state, flow, now_ms):
-    if flow.phase is not Phase.CLOSED:
-        _work(state, flow, False, now_ms)
-        _count(state, flow.target, -1)
-        flow.phase = Phase.CLOSED
-
-
-def _end(state, flow, now_ms):
-    _close(state, flow, now_ms)
-    state.flows.pop(flow.key, None)
-
-
 # Segments that wait for knowledge.
 
 
@@ -655,7 +370,7 @@
     for flow in list(state.flows.values()):
         route = event.table.routes.get(flow.address)
         if route is None:
-            _end(state, flow, event.now_ms)
+            end_flow(state, flow, event.now_ms)
             actions.append(_cut(flow, RefusalReason.ROUTE_DROPPED))
         else:
             flow.route = route
@@ -717,7 +432,7 @@
     for flow in list(state.flows.values()):
         if flow.target != event.name or flow.phase is not Phase.OPEN:
             continue
-        _end(state, flow, event.now_ms)
+        end_flow(state, flow, event.now_ms)
         actions.append(_cut(flow, RefusalReason.TARGET_DEAD))
     return actions
 
@@ -772,9 +487,9 @@
         if flow.phase is not Phase.OPEN:
             limit_ms = CLOSED_MS
         if flow.is_working and now_ms - flow.working_ms > WORK_MS:
-            _work(state, flow, False, now_ms)
+            note_work(state, flow, False, now_ms)
         if now_ms - flow.seen_ms > limit_ms:
-            _end(state, flow, now_ms)
+            end_flow(state, flow, now_ms)
     for name, until_ms in list(state.former.items()):
         if now_ms >= until_ms:
             del state.former[name]
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -9,9 +9,12 @@
 from liftmount._internal.decisions import forwarding
 from liftmount._internal.decisions import overflow
 from liftmount._internal.decisions import target_health
+from liftmount._internal.decisions.flow_table import domain_loads
+from liftmount._internal.decisions.flow_table import ForwardingState
 from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.kernel import Service
+from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import Listing
@@ -62,7 +65,7 @@
         self.overflow = overflow.OverflowState()
         self._domain = DomainMembers(1, False)
         self._next_overflow_ms = 0
-        self.state = forwarding.ForwardingState(
+        self.state = ForwardingState(
             options.failure_domain,
             options.flow_max_age_ms,
             seed=crc32(options.name.encode()) or 1,
@@ -125,7 +128,7 @@
             return
         self._next_overflow_ms = now_ms + OVERFLOW_MS
         event = overflow.DomainSeen(
-            forwarding.domain_loads(self.state, self._domain.near, now_ms),
+            domain_loads(self.state, self._domain.near, now_ms),
             self._domain.is_isolated,
             self.state.far_seen_ms,
             now_ms,
@@ -153,7 +156,7 @@
                 continue
             if self.leaving is not None:
                 self.leaving.packet(now_ms)
-            event = forwarding.SegmentArrived(segment, now_ms)
+            event = flows.SegmentArrived(segment, now_ms)
             self._execute(forwarding.decide(self.state, event))
 
     # What the store tells.
@@ -200,12 +203,12 @@
 
     def _settle(self, actions, now_ms):
         self._believe(actions)
-        event = forwarding.TargetsSettled(now_ms)
+        event = flows.TargetsSettled(now_ms)
         self._execute(forwarding.decide(self.state, event))
 
     def _take_routes(self, table, now_ms):
         before = self.state.table
-        event = forwarding.RoutesChanged(table, now_ms)
+        event = flows.RoutesChanged(table, now_ms)
         self._execute(forwarding.decide(self.state, event))
         self._log.write(
             'routes',
@@ -221,13 +224,13 @@
         for action in actions:
             match action:
                 case directory.EntryBelieved(entry):
-                    event = forwarding.TargetPut(entry, now_ms)
+                    event = flows.TargetPut(entry, now_ms)
                     self._log_target('believed', entry)
                 case directory.EntryDoubted(entry):
-                    event = forwarding.TargetPut(entry, now_ms, True)
+                    event = flows.TargetPut(entry, now_ms, True)
                     self._log_target('doubted', entry)
                 case directory.EntryGone(entry):
-                    event = forwarding.TargetRemoved(entry.name, now_ms)
+                    event = flows.TargetRemoved(entry.name, now_ms)
                     self._log_target('gone', entry)
             self._execute(forwarding.decide(self.state, event))
 
@@ -248,22 +251,22 @@
     def _execute(self, actions):
         for action in actions:
             match action:
-                case forwarding.Forward():
+                case flows.Forward():
                     self._send(
                         self._codec.forwarded(action),
                         action.target.endpoint.socket_address(),
                     )
-                case forwarding.Placed():
+                case flows.Placed():
                     self._log_placed(action)
-                case forwarding.Answered():
+                case flows.Answered():
                     self._counters.observe(
                         'open_ms', action.latency_ms, action.route.name
                     )
-                case forwarding.Refuse():
+                case flows.Refuse():
                     self._refuse(action)
-                case forwarding.Drop():
+                case flows.Drop():
                     self._drop(action)
-                case forwarding.TargetsNeeded():
+                case flows.TargetsNeeded():
                     self._counters.count('retried.unknown_tag')
                 case target_health.SendProbe():
                     self._start_probe(action.target)
@@ -355,7 +358,7 @@
         self._log.write(
             'targets', event, target=action.target, probes=action.probes
         )
-        died = forwarding.TargetDied(
+        died = flows.TargetDied(
             action.target, action.is_dead, self.clock.now_ms()
         )
         self._execute(forwarding.decide(self.state, died))
--- a/src/liftmount/platform/heads.py
+++ b/src/liftmount/platform/heads.py
@@ -8,10 +8,10 @@
 from functools import lru_cache
 import struct
 
-from liftmount._internal.decisions.forwarding import Forward
-from liftmount._internal.decisions.forwarding import Refuse
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.flow_messages import Forward
+from liftmount._internal.models.flow_messages import Refuse
 from liftmount._internal.models.segments import Segment
 
 # seq, ack, len, dst, dport, src, sport, echo, sum, flags, pad
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -11,11 +11,11 @@
 from hypothesis import strategies
 import tomli_w
 
-from liftmount._internal.decisions import forwarding
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.exceptions import LiftmountError
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.exceptions import StoredObjectError
+from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
@@ -107,7 +107,7 @@
     context.number = int(number, 16)
     entry = make_entry('one', 'guide', number=context.number)
     segment = heads.read(HEAD + PAYLOAD)
-    action = forwarding.Forward(segment, entry, 0x01020304)
+    action = flows.Forward(segment, entry, 0x01020304)
     context.datagram = heads.forwarded(action)
 
 
@@ -122,12 +122,12 @@
 
 @when('a flow is refused at acknowledgement {number:d}')
 def refuse_flow(context, number):
-    action = forwarding.Refuse(
+    action = flows.Refuse(
         flow=b'',
         client=Endpoint('203.0.113.9', 40001),
         address=Endpoint('198.51.100.1', 8443),
         sequence=number,
-        reason=forwarding.RefusalReason.NO_ROUTE,
+        reason=flows.RefusalReason.NO_ROUTE,
     )
     context.reset = struct.unpack('<IIHIHIHIIBB', heads.reset(action))
 
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -12,8 +12,11 @@
 
 from liftmount._internal.decisions import flow_tags
 from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions.flow_table import ForwardingState
+from liftmount._internal.decisions.flow_table import Phase
 from liftmount._internal.decisions.target_health import TargetJudged
 from liftmount._internal.decisions.target_health import TargetSilent
+from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.models.segments import Route
@@ -48,7 +51,7 @@
 class Balancer:
     """A state, its time, and all that it was told to do."""
 
-    state: forwarding.ForwardingState
+    state: ForwardingState
     now_ms: int = START_MS
     actions: list = Factory(list)
     last: list = Factory(list)
@@ -85,12 +88,12 @@
         for name, value in changes.items():
             setattr(segment, name, value)
         self.segments[client] = segment
-        return self.feed(forwarding.SegmentArrived(segment, self.now_ms))
+        return self.feed(flows.SegmentArrived(segment, self.now_ms))
 
     def put(self, entry):
         """Make a target known."""
-        self.feed(forwarding.TargetPut(entry, self.now_ms))
-        return self.feed(forwarding.TargetsSettled(self.now_ms))
+        self.feed(flows.TargetPut(entry, self.now_ms))
+        return self.feed(flows.TargetsSettled(self.now_ms))
 
     def flow(self, client):
         """Return the flow of a client."""
@@ -104,19 +107,19 @@
         """Return where the opening of a client went."""
         return [
             one.target.name
-            for one in self.of(forwarding.Forward)
+            for one in self.of(flows.Forward)
             if one.segment.client.port == client and one.segment.opens
         ]
 
 
 def forwards(actions):
     """Return the forwards among actions."""
-    return [one for one in actions if isinstance(one, forwarding.Forward)]
+    return [one for one in actions if isinstance(one, flows.Forward)]
 
 
 def make_balancer(domain):
     """Return a balancer that knows nothing."""
-    state = forwarding.ForwardingState(domain, FLOW_MAX_AGE_MS)
+    state = ForwardingState(domain, FLOW_MAX_AGE_MS)
     balancer = Balancer(state)
     balancer.feed(Tick(START_MS))
     return balancer
@@ -166,7 +169,7 @@
 def with_routes(context):
     context.routes = read_routes(context.table)
     table = make_table(3, context.routes)
-    context.balancer.feed(forwarding.RoutesChanged(table, START_MS))
+    context.balancer.feed(flows.RoutesChanged(table, START_MS))
 
 
 @given('a balancer in domain a that knows nothing yet')
@@ -253,30 +256,30 @@
     assert not forwards(balancer.last)
     assert len(balancer.state.held) == 1
     kinds = [type(one) for one in balancer.last]
-    assert kinds == [forwarding.TargetsNeeded], kinds
+    assert kinds == [flows.TargetsNeeded], kinds
 
 
 @then('it is answered by a reset: {reason}')
 def answered_by_reset(context, reason):
     (found,) = context.balancer.last
-    assert isinstance(found, forwarding.Refuse), found
+    assert isinstance(found, flows.Refuse), found
     assert found.reason.value == reason, found
 
 
 @then('it was dropped: {reason}')
 def was_dropped(context, reason):
-    (found,) = context.balancer.of(forwarding.Drop)
+    (found,) = context.balancer.of(flows.Drop)
     assert found.reason.value == reason, found
 
 
 @then('no reset was sent')
 def no_reset(context):
-    assert not context.balancer.of(forwarding.Refuse)
+    assert not context.balancer.of(flows.Refuse)
 
 
 @then('{count:d} resets were sent')
 def resets_sent(context, count):
-    found = context.balancer.of(forwarding.Refuse)
+    found = context.balancer.of(flows.Refuse)
     assert len(found) == count, found
 
 
@@ -346,14 +349,12 @@
 def learns_all(context):
     balancer = context.balancer
     balancer.feed(
-        forwarding.RoutesChanged(
-            make_table(3, context.routes), balancer.now_ms
-        )
+        flows.RoutesChanged(make_table(3, context.routes), balancer.now_ms)
     )
     for entry in context.entries.values():
-        event = forwarding.TargetPut(entry, balancer.now_ms)
+        event = flows.TargetPut(entry, balancer.now_ms)
         balancer.feed(event)
-    balancer.feed(forwarding.TargetsSettled(balancer.now_ms))
+    balancer.feed(flows.TargetsSettled(balancer.now_ms))
 
 
 @when('version {version:d} without the route {name} comes into force')
@@ -361,14 +362,14 @@
     routes = [one for one in context.routes if one.name != name]
     balancer = context.balancer
     table = make_table(version, routes)
-    balancer.feed(forwarding.RoutesChanged(table, balancer.now_ms))
+    balancer.feed(flows.RoutesChanged(table, balancer.now_ms))
 
 
 @when('version {version:d} with all routes arrives')
 def version_with_all(context, version):
     balancer = context.balancer
     table = make_table(version, context.routes)
-    balancer.feed(forwarding.RoutesChanged(table, balancer.now_ms))
+    balancer.feed(flows.RoutesChanged(table, balancer.now_ms))
 
 
 @then('version {version:d} is in force')
@@ -384,14 +385,14 @@
 
 @then('the flow of client {client:d} was reset: {reason}')
 def flow_reset(context, client, reason):
-    (found,) = context.balancer.of(forwarding.Refuse)
+    (found,) = context.balancer.of(flows.Refuse)
     assert found.client.port == client, found
     assert found.reason.value == reason, found
 
 
 @then("the reset carries the client's last acknowledgement")
 def reset_fits(context):
-    (found,) = context.balancer.of(forwarding.Refuse)
+    (found,) = context.balancer.of(flows.Refuse)
     assert found.sequence == context.balancer.segments[1].acknowledgement
 
 
@@ -415,7 +416,7 @@
 def target_gone(context):
     balancer = context.balancer
     name = balancer.flow(1).target
-    balancer.feed(forwarding.TargetRemoved(name, balancer.now_ms))
+    balancer.feed(flows.TargetRemoved(name, balancer.now_ms))
 
 
 @then('the target of client 1 got none of them')
@@ -437,7 +438,7 @@
     judged = TargetJudged(name, is_dead, 3)
     (health.dead.add if is_dead else health.dead.discard)(judged.target)
     return balancer.feed(
-        forwarding.TargetDied(judged.target, is_dead, balancer.now_ms)
+        flows.TargetDied(judged.target, is_dead, balancer.now_ms)
     )
 
 
@@ -482,7 +483,7 @@
         for entry in self.entries.values():
             self.balancer.put(entry)
         table = make_table(3, context.routes)
-        self.balancer.feed(forwarding.RoutesChanged(table, START_MS))
+        self.balancer.feed(flows.RoutesChanged(table, START_MS))
 
     def step(self):
         """Let one random thing happen."""
@@ -508,7 +509,7 @@
         # The client may echo the tag of any target that answered it.
         target = self.opened_at.setdefault(key, self.rng.choice(flow.tried))
         name = target
-        if self.rng.random() < 0.2 and flow.phase is forwarding.Phase.OPEN:
+        if self.rng.random() < 0.2 and flow.phase is Phase.OPEN:
             name = self.rng.choice(flow.tried)
         entry = self.balancer.state.tags.entries[name]
         sequence = flow.sent - (CLIENT_DATA_BYTES if repeat else 0)
@@ -541,12 +542,12 @@
 
     def _check(self, actions):
         for one in actions:
-            if isinstance(one, forwarding.Refuse):
+            if isinstance(one, flows.Refuse):
                 self.opened_at.pop(one.flow, None)
                 is_dead = one.target in self.dead
                 if one.target and not is_dead:
                     self.reset_alive.append(one)
-            elif isinstance(one, forwarding.Forward):
+            elif isinstance(one, flows.Forward):
                 wanted = self.services[str(one.segment.address)]
                 if one.target.service != wanted:
                     self.wrong_service.append(one)
--- /dev/null
+++ b/tests/features/steps/start_steps.py
@@ -0,0 +1,86 @@
+"""Steps on the start of a balancer, and on what knows the platform."""
+
+from pathlib import Path
+import re
+import subprocess
+import sys
+import tomllib
+
+from behave import then
+from behave import when
+
+from liftmount.platform.settings import METRICS_PORT
+
+SOURCE = Path('src/liftmount')
+ADAPTER = SOURCE / 'platform'
+LIST_MODULES = (
+    "import sys; sys.modules['ssl'] = None; import liftmount.platform.daemon;"
+    "print('\\n'.join(name for name, one in sys.modules.items() if one))"
+)
+# Field names that only the platform uses; other words are too common.
+FIELDS = re.compile(
+    'warmup_left_ms|path_prefix|weighted_backends|current_rev|more_pages|'
+    'ephemeral_ports|allow_stale|created_rev|node_name|max_flow_s|'
+    'heartbeat_ms|health_check_path|idle_timeout_ms|non_idempotent'
+)
+
+
+IMPORTS = re.compile(r'^\s*(from|import) liftmount\.platform\b', re.MULTILINE)
+
+
+@when('the modules of a start are listed')
+def list_modules(context):
+    done = subprocess.run(
+        [sys.executable, '-c', LIST_MODULES],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.modules = done.stdout.split()
+
+
+@then('none of them is {names}')
+def none_of(context, names):
+    roots = {name.partition('.')[0] for name in context.modules}
+    unwanted = set(re.split(r', | or ', names))
+    assert not roots & unwanted, roots & unwanted
+
+
+@then("at most {most:d} of them are liftmount's")
+def at_most(context, most):
+    own = [one for one in context.modules if one.startswith('liftmount')]
+    assert len(own) <= most, own
+
+
+@then('deploy/system.toml names the metrics port of the settings')
+def metrics_port(_context):
+    with open('deploy/system.toml', 'rb') as stream:
+        role = tomllib.load(stream)['roles']['balancer']
+    assert role['metrics'] == f'{METRICS_PORT}/metrics', role
+
+
+def outside_adapter():
+    """Yield the sources that must not know the platform."""
+    for path in sorted(SOURCE.rglob('*.py')):
+        if ADAPTER not in path.parents:
+            yield path, path.read_text()
+
+
+@then('no module outside liftmount/platform imports it')
+def nobody_imports(_context):
+    found = [
+        path
+        for path, text in outside_adapter()
+        if 'liftmount.platform' in text
+    ]
+    assert not found, found
+
+
+@then('no module outside liftmount/platform names a field of the platform')
+def nobody_names(_context):
+    found = [
+        (str(path), FIELDS.findall(text))
+        for path, text in outside_adapter()
+        if FIELDS.search(text)
+    ]
+    assert not found, found
