Fetch news at once when a segment waits for an unknown target

Such segments were held and counted, but the next watch came when it came: a pause of up to 0.7 s, longer than they are held.

--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -70,6 +70,11 @@
     revision: int | None
 
 
+@message
+class Hurried(Message):
+    """Somebody waits for news: don't wait for more to collect."""
+
+
 @message
 class CallFailed(Message):
     """A call got no usable answer; ``cause`` says how it failed."""
@@ -146,6 +151,8 @@
             return _failed(state, event.cause)
         case Paused():
             return [Rest()]
+        case Hurried():
+            return [_resume(state, None)]
         case Resumed():
             return [_resume(state, event.revision)]
     raise TypeError(f'unknown event {event!r}')
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -15,6 +15,7 @@
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.knowledge import Beat
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
@@ -86,6 +87,11 @@
     now_ms: int
 
 
+@message
+class ReadNow(Message):
+    """Ask the store at once for what changed in targets."""
+
+
 @message
 class SendBeat(Message):
     """Send a beat to the children in the tree."""
@@ -176,6 +182,8 @@
             return _answered(state, event)
         case BeatArrived():
             return _beat(state, event.beat, event.now_ms)
+        case TargetUnknown():
+            return _unknown(state, event.now_ms)
         case PeerKnows():
             return _pull(state, event.peer, event.now_ms)
         case Tick():
@@ -252,6 +260,16 @@
     return [*actions, *_pull(state, beat.sender, now_ms)]
 
 
+def _unknown(state, now_ms):
+    """Look for a target where news of it come first."""
+    if not state.is_reading:
+        return _pull(state, state.order[0], now_ms)
+    if now_ms < state.next_pull_ms:
+        return []
+    state.next_pull_ms = now_ms + PULL_MS
+    return [ReadNow()]
+
+
 def _pull(state, peer, now_ms):
     if now_ms < state.next_pull_ms:
         return []
--- a/src/liftmount/_internal/models/feeds.py
+++ b/src/liftmount/_internal/models/feeds.py
@@ -36,3 +36,10 @@
     targets_revision: int
     table: RouteTable | None
     routes_revision: int
+
+
+@message
+class TargetUnknown(Message):
+    """A segment waits for a target that is not known here."""
+
+    now_ms: int
--- a/src/liftmount/_internal/services/feeds.py
+++ b/src/liftmount/_internal/services/feeds.py
@@ -51,20 +51,23 @@
         self._next(following.Started())
         await super().run()
 
-    def handle(self, message):
-        """Pause or resume."""
-        match message:
+    def handle(self, posted):
+        """Pause, resume, or ask at once."""
+        match posted:
             case following.Paused():
                 self._resting = True
                 self._cancel()
             case following.Resumed() if self._resting:
                 self._resting = False
                 self._cancel()
-                self._next(message)
-            case following.Resumed():
+                self._next(posted)
+            case following.Hurried() if not self._resting:
+                self._cancel()
+                self._next(posted)
+            case following.Resumed() | following.Hurried():
                 pass
             case _:
-                super().handle(message)
+                super().handle(posted)
 
     def _cancel(self):
         if self._call_task is not None:
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -18,6 +18,7 @@
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.identity import make_incarnation
 from liftmount._internal.models.identity import RANDOM_BITS
 from liftmount._internal.models.knowledge import decode_beat
@@ -204,6 +205,8 @@
                 )
                 self._execute(spreading.decide(self.spread, event))
                 self._note_version()
+            case TargetUnknown():
+                self._execute(spreading.decide(self.spread, message))
             case FeedFailed():
                 self._failures += 1
                 if self._failures == FAILURES_TO_YIELD:
@@ -285,6 +288,8 @@
                     self.packets.post(FeedNews(TARGETS, delta))
                 case spreading.Pull(peer):
                     self._pull(peer)
+                case spreading.ReadNow():
+                    self.kernel.post(TARGETS, following.Hurried())
                 case spreading.SetReading():
                     self._set_reading(action)
 
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -19,6 +19,7 @@
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
+from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
 from liftmount._internal.models.ticks import Tick
@@ -267,7 +268,7 @@
                 case flows.Drop():
                     self._drop(action)
                 case flows.TargetsNeeded():
-                    self._counters.count('retried.unknown_tag')
+                    self._ask_for_target()
                 case target_health.SendProbe():
                     self._start_probe(action.target)
                 case target_health.TargetJudged():
@@ -278,6 +279,13 @@
                 case target_health.TargetSeen():
                     self._assess(action)
 
+    def _ask_for_target(self):
+        """Have somebody look for a target that a segment waits for."""
+        self._counters.count('retried.unknown_tag')
+        if 'group' in self.kernel.services:
+            event = TargetUnknown(self.clock.now_ms())
+            self.kernel.post('group', event)
+
     def _assess(self, event):
         self._execute(target_health.decide(self.state.health, event))
 
--- a/tests/features/decisions/beliefs.feature
+++ b/tests/features/decisions/beliefs.feature
@@ -58,6 +58,8 @@
       | start, listed 10, gone                     | exact list at once         |
       | start, listed 10, gone, failed             | exact list after 100 ms    |
       | start, listed 10, gone, listed 8           | watch from 10 at once      |
+      | start, listed 10, changed 12 by 1, hurried | watch from 12 at once      |
+      | start, hurried                             | list that may lag at once  |
       | start, failed                              | list that may lag after 100 ms |
       | start, listed 10, failed, changed 11 by 0  | watch from 11 at once      |
 
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -45,6 +45,17 @@
     When beats of version 9 arrive 5 times within 100 ms
     Then it takes over 0 changes and pulls 1 times
 
+  Scenario Outline: A segment for an unknown target has news fetched at once
+    Given a member of a domain whose order is <order>
+    When it reads the store: <reads>, and 5 segments wait within 100 ms
+    Then it asks <asks>, once
+
+    Examples:
+      | order | reads | asks      |
+      | b, me | no    | member b  |
+      | b, me | yes   | the store |
+      | me, b | yes   | the store |
+
   Scenario: Changes reach all 385 members of a domain in three steps
     Given a domain of 385 members that all know revision 10
     When the root reads a change to revision 12
--- a/tests/features/steps/beliefs_steps.py
+++ b/tests/features/steps/beliefs_steps.py
@@ -112,6 +112,8 @@
                 event = following.Changed(int(revision), int(count))
             case ['gone']:
                 event = following.HistoryGone()
+            case ['hurried']:
+                event = following.Hurried()
             case ['failed']:
                 event = following.CallFailed('no answer')
         *reports, context.call = following.decide(state, event)
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -16,6 +16,7 @@
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteKind
@@ -108,6 +109,23 @@
     assert context.state.is_reading == (answer == 'yes'), context.state
 
 
+@when('it reads the store: {reads}, and 5 segments wait within 100 ms')
+def segments_wait(context, reads):
+    context.state.is_reading = reads == 'yes'
+    context.actions = []
+    for index in range(5):
+        event = TargetUnknown(START_MS + 20 * index)
+        context.actions += spreading.decide(context.state, event)
+
+
+@then('it asks {whom}, once')
+def asks_once(context, whom):
+    wanted = spreading.ReadNow()
+    if whom.startswith('member '):
+        wanted = spreading.Pull(whom.removeprefix('member '))
+    assert context.actions == [wanted], context.actions
+
+
 @given('{count:d} members of a domain that hear no beat any more')
 def many_members(context, count):
     names = [f'm{index:02}' for index in range(count)]
