Prove a target dead of late before a flow is reset for it

Cause: the last silent probe ended 10 ms before a cut healed, the next was due 5 s later, and flows that came to this balancer meanwhile were reset on that belief. A proof counts for 0.7 s now; after that the segment is forwarded and the target asked again. Ruled out: a wrong verdict of the probes themselves. Four scenarios, two of which failed before.

--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -252,10 +252,13 @@
     is_stuck = flow.resends >= RESENDS_TO_DOUBT
     if segment.resets or segment.closes:
         close_flow(state, flow, now_ms)
-    elif state.health.is_dead(flow.target):
+    elif state.health.is_proven_dead(flow.target, now_ms):
         end_flow(state, flow, now_ms)
         reason = RefusalReason.TARGET_DEAD
         return [*actions, _refuse(segment, reason, flow.target)]
+    elif state.health.is_dead(flow.target):
+        # Found dead a while ago: it may be back, so it is asked again.
+        actions.append(TargetSilent(flow.target, now_ms))
     elif is_stuck and flow.target in state.former:
         end_flow(state, flow, now_ms)
         reason = RefusalReason.TARGET_GONE
--- a/src/liftmount/_internal/decisions/target_health.py
+++ b/src/liftmount/_internal/decisions/target_health.py
@@ -24,7 +24,11 @@
 # Intervals between probes of a dead target; a probe costs as much as a
 # tenth of a request, an outage lasts some seconds.
 FIRST_RETRY_MS = 700
-LONGEST_RETRY_MS = 5_000
+LONGEST_RETRY_MS = 2_500
+# How long a silent probe proves that a target is dead, where a flow would
+# be reset for it.  A cut that heals makes an older proof wrong; the next
+# probe of the target takes 150 ms, a client sends again after 200 ms.
+PROOF_MS = 700
 # A target that gave a sign of life this recently is not probed: silence
 # towards one flow is then a lost packet or a full target.
 LIFE_MS = 30
@@ -97,6 +101,7 @@
 class _Health:
     condition: Condition = Condition.ALIVE
     silent_probes: int = 0
+    probed_ms: int = 0
     seen_ms: int = 0
     is_probing: bool = False
     retry_ms: int = 0
@@ -114,6 +119,12 @@
         """Tell whether a target is believed dead."""
         return target in self.dead
 
+    def is_proven_dead(self, target: str, now_ms: int) -> bool:
+        """Tell whether a target is dead, and was found so of late."""
+        if target not in self.dead:
+            return False
+        return now_ms - self.targets[target].probed_ms <= PROOF_MS
+
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
         self.targets.pop(target, None)
@@ -136,14 +147,22 @@
 
 def _silent(state, event):
     health = state.targets.setdefault(event.target, _Health())
-    if health.condition is not Condition.ALIVE or health.is_probing:
+    if health.is_probing or health.condition is Condition.PROBED:
         return []
+    if health.condition is Condition.DEAD:
+        return _prove_again(health, event)
     if event.now_ms - health.seen_ms <= LIFE_MS:
         return []
     health.condition = Condition.PROBED
     return _probe(health, event.target)
 
 
+def _prove_again(health, event):
+    if event.now_ms - health.probed_ms <= PROOF_MS:
+        return []
+    return _probe(health, event.target)
+
+
 def _seen(state, event):
     health = state.targets.get(event.target)
     if health is None:
@@ -175,6 +194,7 @@
         health.next_probe_ms = event.now_ms
         return []
     health.silent_probes += 1
+    health.probed_ms = event.now_ms
     if health.condition is Condition.DEAD:
         health.retry_ms = min(2 * health.retry_ms, LONGEST_RETRY_MS)
         health.next_probe_ms = event.now_ms + health.retry_ms
--- a/tests/features/decisions/forwarding.feature
+++ b/tests/features/decisions/forwarding.feature
@@ -147,6 +147,18 @@
     Then the flow of client 1 was reset: target_dead
     And data of client 2 is forwarded
 
+  Scenario Outline: A dead target is asked again before it costs another flow
+    Given the target near-1 was judged dead <ago> ms ago
+    When a segment of client 7 to 198.51.0.1:8443 arrives with the tag of near-1
+    Then it is <outcome>
+
+    Examples:
+      | ago  | outcome                                            |
+      | 100  | answered by a reset: target_dead                   |
+      | 600  | answered by a reset: target_dead                   |
+      | 800  | forwarded to near-1, and its target is asked again |
+      | 4000 | forwarded to near-1, and its target is asked again |
+
   Scenario: With all targets dead new flows still go somewhere
     When all targets of guide are judged dead
     And client 3 opens a flow to 198.51.0.1:8443
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -12,8 +12,12 @@
 
 from liftmount._internal.decisions import flow_tags
 from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.flow_table import ForwardingState
 from liftmount._internal.decisions.flow_table import Phase
+from liftmount._internal.decisions.target_health import ProbeEnded
+from liftmount._internal.decisions.target_health import ProbeResult
+from liftmount._internal.decisions.target_health import PROBES_TO_DEAD
 from liftmount._internal.decisions.target_health import TargetJudged
 from liftmount._internal.decisions.target_health import TargetSilent
 from liftmount._internal.models import flow_messages as flows
@@ -433,15 +437,38 @@
 
 
 def judge(balancer, name, is_dead=True):
-    """Judge a target dead or alive, as its health would."""
-    health = balancer.state.health
-    judged = TargetJudged(name, is_dead, 3)
-    (health.dead.add if is_dead else health.dead.discard)(judged.target)
+    """Judge a target dead or alive, by evidence and probes."""
+    now_ms = balancer.now_ms
+    result = ProbeResult.SILENT if is_dead else ProbeResult.ANSWERED
+    events = [TargetSilent(name, now_ms)]
+    events += [ProbeEnded(name, result, now_ms)] * PROBES_TO_DEAD
+    judged = TargetJudged(name, is_dead, 0)
+    for event in events:
+        health = balancer.state.health
+        for action in target_health.decide(health, event):
+            if isinstance(action, TargetJudged):
+                judged = action
     return balancer.feed(
         flows.TargetDied(judged.target, is_dead, balancer.now_ms)
     )
 
 
+@given('the target {name} was judged dead {interval:d} ms ago')
+def judged_dead_ago(context, name, interval):
+    judge(context.balancer, name)
+    context.balancer.pass_time(interval)
+
+
+@then('it is forwarded to {target}, and its target is asked again')
+def forwarded_and_asked(context, target):
+    balancer = context.balancer
+    (found,) = forwards(balancer.last)
+    assert found.target.name == target, found
+    (silence,) = balancer.of(TargetSilent)
+    asked = target_health.decide(balancer.state.health, silence)
+    assert asked == [target_health.SendProbe(target)], asked
+
+
 @when('the target of client 1 is judged dead')
 def target_judged_dead(context):
     judge(context.balancer, context.balancer.flow(1).target)
