Remove what nothing uses, and write a few things once

Read as a newcomer: an unused constant here and there, an action and two fields that nobody read, three docstrings that promised more than the code does. A flow is made in one place, the two choices of a target share their steps, a pool is told of a last choice instead of by an empty avoidance, status codes stand once. A test step that asserted nothing now checks what was read.

--- a/src/liftmount/_internal/decisions/directory.py
+++ b/src/liftmount/_internal/decisions/directory.py
@@ -62,10 +62,9 @@
 
 @message
 class EntryGone(Message):
-    """A target has ended; ``was_draining`` tells whether it said so."""
+    """A target has ended."""
 
     entry: TargetEntry
-    was_draining: bool
 
 
 @define
@@ -79,7 +78,6 @@
     entries: dict[str, TargetEntry] = Factory(dict)
     doubted: dict[str, int] = Factory(dict)
     revision: int = 0
-    is_listed: bool = False
     trusted_from_ms: int = 0
 
 
@@ -103,7 +101,6 @@
     if event.revision < state.revision:
         return []
     state.revision = event.revision
-    state.is_listed = True
     actions = []
     for entry in event.entries:
         actions += _written(state, entry)
@@ -146,7 +143,7 @@
 def _gone(state, name):
     state.doubted.pop(name, None)
     entry = state.entries.pop(name)
-    return [EntryGone(entry, entry.draining)]
+    return [EntryGone(entry)]
 
 
 def _expire(state, now_ms):
--- a/src/liftmount/_internal/decisions/flow_tags.py
+++ b/src/liftmount/_internal/decisions/flow_tags.py
@@ -86,7 +86,3 @@
             if self.entries[name].service in services
         ]
         return fitting[0] if len(fitting) == 1 else None
-
-    def knows(self, tag: int) -> bool:
-        """Tell whether some target has this tag."""
-        return tag in self.by_tag
--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -99,11 +99,6 @@
     wait_ms: int = WATCH_MS
 
 
-@message
-class Rest(Message):
-    """Make no call until told to."""
-
-
 @message
 class DependencyLost(Message):
     """The store cannot be read any more."""
@@ -149,8 +144,6 @@
             return [*_answered(state), List(0, may_lag=False)]
         case CallFailed():
             return _failed(state, event.cause)
-        case Paused():
-            return [Rest()]
         case Hurried():
             return [_resume(state, None)]
         case Resumed():
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -126,6 +126,21 @@
     )
 
 
+def _add_flow(state, segment, route, phase, now_ms):
+    """Begin to keep a flow."""
+    flow = Flow(
+        key=segment.flow,
+        route=route,
+        client=segment.client,
+        address=segment.address,
+        phase=phase,
+        opened_ms=now_ms,
+        seen_ms=now_ms,
+    )
+    state.flows[segment.flow] = flow
+    return flow
+
+
 # Openings.
 
 
@@ -139,17 +154,8 @@
         # Its answer may be under way; copies come together after a stall.
         return []
     if not is_opening:
-        flow = Flow(
-            key=segment.flow,
-            route=route,
-            client=segment.client,
-            address=segment.address,
-            phase=Phase.OPENING,
-            opened_ms=now_ms,
-            seen_ms=now_ms,
-            opening=segment,
-        )
-        state.flows[segment.flow] = flow
+        flow = _add_flow(state, segment, route, Phase.OPENING, now_ms)
+        flow.opening = segment
     flow.seen_ms = now_ms
     return _place(state, segment, flow, now_ms)
 
@@ -210,19 +216,10 @@
     entry = _named_by(state, segment, route)
     if entry is None:
         return _unknown(state, segment, now_ms)
-    flow = Flow(
-        key=segment.flow,
-        route=route,
-        client=segment.client,
-        address=segment.address,
-        phase=Phase.OPEN,
-        opened_ms=now_ms,
-        seen_ms=now_ms,
-        tag=segment.tag,
-        sent=segment.sequence,
-        acknowledged=segment.acknowledgement,
-    )
-    state.flows[segment.flow] = flow
+    flow = _add_flow(state, segment, route, Phase.OPEN, now_ms)
+    flow.tag = segment.tag
+    flow.sent = segment.sequence
+    flow.acknowledged = segment.acknowledgement
     move_flow(state, flow, entry.name, now_ms)
     return _follow(state, segment, flow, now_ms)
 
@@ -425,10 +422,7 @@
     entry = state.tags.entries.get(event.name)
     if entry is None:
         return []
-    load = state.pool(entry.service).targets.get(event.name)
-    if load is not None:
-        load.last_choice = event.is_dead
-        state.pool(entry.service).avoid(event.name, 0)
+    state.pool(entry.service).set_last_choice(event.name, event.is_dead)
     if not event.is_dead:
         return []
     actions = []
@@ -483,7 +477,7 @@
 
 
 def _sweep(state, now_ms):
-    """Forget flows that ended, rested too long or are too old."""
+    """Forget flows that ended or rested too long, and old targets."""
     idle_ms = state.table.idle_limit_ms if state.table else HELD_MS
     for flow in list(state.flows.values()):
         limit_ms = idle_ms
--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -174,11 +174,9 @@
     """
     actions = []
     for member in members:
-        told = state.gossip.get(member.name)
+        was_telling = member.name in state.gossip
         actions += learn(state, member, now_ms)
-        if member.name == state.own.name:
-            continue
-        if told is None:
+        if member.name != state.own.name and not was_telling:
             state.gossip.pop(member.name, None)
     return actions
 
--- a/src/liftmount/_internal/decisions/overflow.py
+++ b/src/liftmount/_internal/decisions/overflow.py
@@ -80,11 +80,12 @@
 
 def _note_cut(state, event):
     now_ms = event.now_ms
-    if not _cut_loads(event):
+    is_cut = bool(_cut_loads(event))
+    if not is_cut:
         state.cut_ms = None
     elif state.cut_ms is None:
         state.cut_ms = now_ms
-    is_healed = not _cut_loads(event) and _far_share(event) >= HEALED_SHARE
+    is_healed = not is_cut and _far_share(event) >= HEALED_SHARE
     if not is_healed:
         state.healed_ms = None
     elif state.healed_ms is None:
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -241,6 +241,13 @@
             target.ejected_until_ms = max(target.ejected_until_ms, until_ms)
             self._forget_usable()
 
+    def set_last_choice(self, name: str, is_last: bool) -> None:
+        """Give a target work only when there is no other, or as usual."""
+        target = self.targets.get(name)
+        if target is not None:
+            target.last_choice = is_last
+            self._forget_usable()
+
     def _forget_usable(self):
         self._usable = None
         self._weights_until_ms = 0
@@ -272,14 +279,7 @@
 
     def choose_for_stream(self, now_ms: int, avoid=()) -> TargetLoad | None:
         """Return the target for a long flow: fewest for its weight."""
-        usable = self._sample(self.usable(now_ms))
-        if avoid:
-            usable = [one for one in usable if one.name not in avoid]
-        if not usable:
-            return None
-        if now_ms >= self._weights_until_ms:
-            self._weigh(now_ms)
-        return min(usable, key=_stream_load)
+        return self._choose_least(now_ms, avoid, _stream_load)
 
     def choose_for_flow(self, now_ms: int, avoid=()) -> TargetLoad | None:
         """Return the target for a flow of unknown length.
@@ -288,6 +288,12 @@
         what they ask that a new target which has few of them would be
         flooded if they were only counted.
         """
+        return self._choose_least(
+            now_ms, avoid, lambda one: flow_cost(one, now_ms)
+        )
+
+    def _choose_least(self, now_ms, avoid, cost):
+        """Return the usable target of the least cost, weights up to date."""
         usable = self._sample(self.usable(now_ms))
         if avoid:
             usable = [one for one in usable if one.name not in avoid]
@@ -295,7 +301,7 @@
             return None
         if now_ms >= self._weights_until_ms:
             self._weigh(now_ms)
-        return min(usable, key=lambda one: flow_cost(one, now_ms))
+        return min(usable, key=cost)
 
     def _weigh(self, now_ms):
         """Work the weights for long flows out anew; they change slowly."""
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -35,9 +35,6 @@
 FRESH_MS = 3_700
 # Members start to read spread over this time, as all miss the same beat.
 SPREAD_MS = 400
-# A balancer that has just started gives its peers this long to be heard
-# before it watches the store itself.
-SETTLE_MS = 1_000
 # Changes stay in beats for this long, so that one lost beat costs nothing.
 REPEAT_MS = 1_500
 # What a beat may hold of changes: some 90 bytes each, in one datagram.
--- a/src/liftmount/_internal/network/http.py
+++ b/src/liftmount/_internal/network/http.py
@@ -16,6 +16,10 @@
 from liftmount._internal.exceptions import HttpError
 from liftmount._internal.models.addresses import Endpoint
 
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_UNAVAILABLE = 503
 READ_BYTES = 65_536
 # A peer that a cut hides is noticed after this long; both the data that is
 # not acknowledged and an idle connection count.
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -32,6 +32,8 @@
 from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.ticks import Tick
+from liftmount._internal.network.http import HTTP_NOT_FOUND
+from liftmount._internal.network.http import HTTP_OK
 from liftmount._internal.network.http import HttpAnswer
 from liftmount._internal.network.http import HttpConnection
 from liftmount._internal.network.http import HttpServer
@@ -46,8 +48,6 @@
 # When a newcomer asks the seeds for all members: at once, and again when
 # those that started with it have reached the seeds.
 ASK_SEEDS_AT_MS = (0, 1_500, 4_000)
-HTTP_OK = 200
-HTTP_NOT_FOUND = 404
 # A configuration of hundreds of routes is some 10 KB when compressed; on
 # a link of 5 Mbit/s with eight askers that is 0.2 s.
 PULL_TIMEOUT_MS = 1_500
@@ -215,7 +215,7 @@
                 super().handle(message)
 
     def set_seeds(self, seeds):
-        """Take over new seeds, and ask them for members."""
+        """Take over new seeds; they are probed when no member is known."""
         own = self.members.own.peer
         self.members.seeds = tuple(one for one in seeds if one != own)
 
@@ -325,10 +325,9 @@
         )
         # What the packet path holds, not what is on its way there: a watch
         # from too late a revision would never tell what lies between.
-        known = self.packets.knowledge()
         revisions = {
-            TARGETS: known.targets_revision,
-            ROUTES: known.routes_revision,
+            TARGETS: self.packets.directory.revision,
+            ROUTES: self.packets.routes_revision,
         }
         for feed in self.feeds:
             if action.is_reading:
--- a/src/liftmount/_internal/services/metrics_page.py
+++ b/src/liftmount/_internal/services/metrics_page.py
@@ -2,11 +2,11 @@
 
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.network.http import HTTP_NOT_FOUND
+from liftmount._internal.network.http import HTTP_OK
 from liftmount._internal.network.http import HttpAnswer
 from liftmount._internal.network.http import HttpServer
 
-HTTP_OK = 200
-HTTP_NOT_FOUND = 404
 METRICS_PATH = '/metrics'
 
 
--- a/src/liftmount/_internal/services/readiness.py
+++ b/src/liftmount/_internal/services/readiness.py
@@ -2,13 +2,12 @@
 
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.network.http import HTTP_NOT_FOUND
+from liftmount._internal.network.http import HTTP_OK
+from liftmount._internal.network.http import HTTP_UNAVAILABLE
 from liftmount._internal.network.http import HttpAnswer
 from liftmount._internal.network.http import HttpServer
 
-HTTP_OK = 200
-HTTP_NOT_FOUND = 404
-HTTP_UNAVAILABLE = 503
-
 
 class ReadinessService(Service):
     """Owns the server that is asked for readiness.
--- a/src/liftmount/platform/objects.py
+++ b/src/liftmount/platform/objects.py
@@ -10,7 +10,6 @@
 from liftmount._internal.models.segments import TargetEntry
 
 CONFIGURATION_KIND = 'config'
-CONFIGURATION_NAME = 'main'
 TARGET_KIND = 'servers'
 DRAINING = 'draining'
 ROUTE_KINDS = {
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -15,15 +15,14 @@
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.network.http import HTTP_GONE
+from liftmount._internal.network.http import HTTP_OK
 from liftmount._internal.network.http import HttpConnection
 from liftmount.platform.objects import CONFIGURATION_KIND
 from liftmount.platform.objects import read_routes
 from liftmount.platform.objects import read_target
 from liftmount.platform.objects import TARGET_KIND
 
-HTTP_OK = 200
-HTTP_GONE = 410
-
 
 @frozen
 class StoredObject:
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -398,6 +398,7 @@
 @when('{count:d} random messages of peers are read')
 def random_messages(context, count):
     rng = random.Random(5)
+    context.outcomes = set()
     for _ in range(count):
         fields = [rng.choice((3, 'a', b'x', None, [1], {})) for _ in range(9)]
         for data in (rng.randbytes(rng.randrange(60)), cbor2.dumps(fields)):
@@ -407,15 +408,16 @@
                 wire.decode_members,
             ):
                 try:
-                    decode(data)
+                    context.outcomes.add(type(decode(data)).__name__)
                 except PacketError:
-                    continue
+                    context.outcomes.add('refused')
 
 
 @then('each was read or refused')
-def each_read(_context):
+def each_read(context):
     # Anything but a PacketError has failed the step before.
-    pass
+    allowed = {'refused', 'Beat', 'Knowledge', 'list'}
+    assert 'refused' in context.outcomes <= allowed, context.outcomes
 
 
 def make_record(name, incarnation=1):
