Play randomized faults against real balancers: a first soak

Real processes before stand-ins of clients, targets, routers and store that speak the platform's protocol; faults come from outside: signals, a loopback proxy before the store and each target, a store that fails, targets that crash, drain, leave without a word, and addresses used again.

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,126 @@
+"""Plays seeds of the fault soak: ``python -m soak``.
+
+Each seed runs in a process of its own.  The exit status is 0 when no
+promise was broken, 1 when one was, and 2 for bad arguments.  Logs of a
+seed that failed are kept, and their folder is named.
+"""
+
+import argparse
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+import json
+from pathlib import Path
+import secrets
+import shutil
+import subprocess
+import sys
+import tempfile
+
+from attrs import asdict
+
+from soak import run
+from soak.deployment import Size
+from soak.regressions import SEEDS
+
+FRESH_BITS = 32
+LIMIT_S = 300
+
+
+def play(seed: int, size: Size) -> int:
+    """Play one seed in this process; print its outcome as a JSON line."""
+    directory = Path(tempfile.mkdtemp(prefix='liftmount-soak-'))
+    outcome = asyncio.run(run.play(seed, size, directory))
+    document = {
+        'seed': seed,
+        'breaches': [asdict(one) for one in outcome.breaches],
+        'served_after': round(outcome.served_after, 3),
+        'lag_ms': outcome.lag_ms,
+        'counts': outcome.counts,
+        'faults': [repr(one) for one in outcome.faults],
+    }
+    if outcome.breaches:
+        document['logs'] = str(directory)
+    else:
+        shutil.rmtree(directory, ignore_errors=True)
+    print(json.dumps(document), flush=True)
+    return 1 if outcome.breaches else 0
+
+
+def play_apart(seed: int, size: Size) -> dict:
+    """Play one seed in a process of its own; return its outcome."""
+    command = [sys.executable, '-m', 'soak', '--seed', str(seed)]
+    command += ['--length-ms', str(size.length_ms)]
+    command += ['--balancers', str(size.balancers)]
+    try:
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=LIMIT_S
+        )
+        return json.loads(done.stdout.splitlines()[-1])
+    except (subprocess.TimeoutExpired, ValueError, IndexError) as error:
+        cause = getattr(locals().get('done'), 'stderr', '') or repr(error)
+        breach = {'promise': 'the soak itself works', 'what': cause[-2_000:]}
+        return {'seed': seed, 'breaches': [breach], 'counts': {}}
+
+
+def report(outcome: dict) -> None:
+    """Print a line on a seed, and more if it failed."""
+    counts = outcome['counts']
+    served = counts.get('served', 0)
+    asked = served + counts.get('unserved', 0)
+    word = 'FAILED' if outcome['breaches'] else 'held'
+    print(
+        f'seed {outcome["seed"]}: {word}; {served} of {asked} served, '
+        f'{counts.get("resets", 0)} resets, after the last fault '
+        f'{outcome.get("served_after", 0):.2f}, '
+        f'lag {outcome.get("lag_ms", 0)} ms',
+        flush=True,
+    )
+    for breach in outcome['breaches'][:5]:
+        print(f'  {breach["promise"]}: {breach["what"]}', flush=True)
+    if 'logs' in outcome:
+        print(f'  logs: {outcome["logs"]}', flush=True)
+
+
+def main() -> int:
+    """Play what the arguments choose; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, help='one seed, in this process')
+    parser.add_argument('--count', type=int, default=8, help='fresh seeds')
+    parser.add_argument('--first', type=int, help='count from this seed on')
+    parser.add_argument(
+        '--regressions', action='store_true', help='seeds that failed once'
+    )
+    parser.add_argument(
+        '--length-ms',
+        type=int,
+        default=Size().length_ms,
+        help='how long faults come',
+    )
+    parser.add_argument(
+        '--balancers',
+        type=int,
+        default=Size().balancers,
+        help='in each failure domain',
+    )
+    parser.add_argument('--jobs', type=int, default=2)
+    options = parser.parse_args()
+    size = Size(options.length_ms, options.balancers)
+    if options.seed is not None:
+        return play(options.seed, size)
+    if options.regressions:
+        seeds = list(SEEDS)
+    elif options.first is not None:
+        seeds = list(range(options.first, options.first + options.count))
+    else:
+        seeds = [secrets.randbits(FRESH_BITS) for _ in range(options.count)]
+    failed = 0
+    with ThreadPoolExecutor(options.jobs) as pool:
+        for outcome in pool.map(lambda seed: play_apart(seed, size), seeds):
+            report(outcome)
+            failed += bool(outcome['breaches'])
+    print(f'{len(seeds) - failed} passed, {failed} failed')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,324 @@
+"""The deployment of one run: real balancers before stand-ins."""
+
+import asyncio
+from pathlib import Path
+import random
+import signal
+
+from aiohttp import web
+from attrs import define
+from attrs import frozen
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.clock import seconds
+from liftmount._internal.models.addresses import Endpoint
+from soak import clients
+from soak import promises
+from soak.clients import Kind
+from soak.clients import Load
+from soak.processes import Balancer
+from soak.proxy import Proxy
+from soak.routers import Routers
+from soak.routers import Way
+from soak.targets import State
+from soak.targets import Target
+from stand_ins.addresses import make_run_addresses
+from stand_ins.store import Store
+
+DOMAINS = ('a', 'b', 'c')
+GUIDE = 'guide'
+TILES = 'tiles'
+TARGETS_PER_DOMAIN = {GUIDE: 2, TILES: 1}
+LOADS = (
+    (5, Load(Kind.STREAM, GUIDE, 30, 3_000, 250)),
+    (5, Load(Kind.AT_MOST_ONCE, GUIDE, 40, 400, 400)),
+    (2, Load(Kind.DOWNLOAD, TILES, 8, 20_000, 500)),
+)
+BALANCER_GROUP = 1
+TARGET_GROUP = 20
+TARGET_PROXY_GROUP = 21
+CLIENT_GROUP = 30
+STORE_GROUP = 40
+STORE_PROXY_GROUP = 41
+ROUTE_GROUP = 200
+PACKETS, READY, PEER, STORE, TARGET, ROUTE = range(6)
+SEEDS = 3
+TICK_MS = 20
+READY_MS = 15_000
+STEP_MS = 50
+
+
+@frozen
+class Ports:
+    """The ports that are alike on all machines of a run."""
+
+    packets: int
+    ready: int
+    peer: int
+
+
+@frozen
+class Size:
+    """How long faults come, and how many balancers each domain has."""
+
+    length_ms: int = 20_000
+    balancers: int = 4
+
+
+@define(eq=False)
+class Place:
+    """An address for targets, the proxy before it, and who is there."""
+
+    proxy: Proxy
+    domain: str
+    target: Target
+
+
+class Deployment:
+    """Stand-ins, balancers and clients of one run, and who writes what."""
+
+    def __init__(self, seed: int, size: Size, directory: Path):
+        self.size = size
+        self.directory = directory
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.touch = promises.Touch()
+        self.witness = promises.Witness(self.clock, self.touch)
+        self.addresses = make_run_addresses()
+        self.client_port = self._port(PACKETS)
+        self.store = Store()
+        self.places = []
+        self.store_proxies = []
+        self.balancers = []
+        self.routers = None
+        self.version = 1
+        self.routes = {}
+        self.added_routes = []
+        self.lag_ms = 0
+        self.hosts = []
+        self._tasks = set()
+        self._numbers = 0x1000
+        self._runner = None
+
+    def _port(self, offset):
+        return self.addresses.first_port + offset
+
+    def _endpoint(self, group, host, port):
+        return Endpoint(self.addresses.ip(group, host), self._port(port))
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Start everything and wait until the balancers are ready."""
+        await self._start_store()
+        for domain in DOMAINS:
+            for service, count in TARGETS_PER_DOMAIN.items():
+                for _ in range(count):
+                    await self.new_place(service, domain)
+        self.add_route(GUIDE)
+        self.add_route(TILES)
+        await self.write_configuration()
+        self._make_balancers()
+        for balancer in self.balancers:
+            await balancer.start()
+        self.spawn(self.routers.run())
+        self.spawn(self._tick_forever())
+        await self._wait_ready()
+        await self._start_clients()
+
+    async def _start_store(self):
+        address = self._endpoint(STORE_GROUP, 1, STORE)
+        self._runner = web.AppRunner(
+            self.store.application(), access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, address.ip, address.port).start()
+        count = len(DOMAINS) * self.size.balancers
+        for host in range(1, count + 1):
+            listen = self._endpoint(STORE_PROXY_GROUP, host, STORE)
+            proxy = Proxy(listen, address)
+            await proxy.start(with_udp=False)
+            self.store_proxies.append(proxy)
+
+    async def new_place(self, service: str, domain: str) -> None:
+        """Start a target at an address of its own."""
+        host = len(self.places) + 1
+        listen = self._endpoint(TARGET_GROUP, host, TARGET)
+        address = self._endpoint(TARGET_PROXY_GROUP, host, TARGET)
+        proxy = Proxy(address, listen)
+        await proxy.start(with_udp=True)
+        place = Place(proxy, domain, None)
+        self.places.append(place)
+        await self.new_target(place, service)
+
+    async def new_target(self, place: Place, service: str) -> None:
+        """Start a target at an address."""
+        self._numbers += 1
+        place.target = Target(
+            self._numbers,
+            service,
+            place.domain,
+            place.proxy.forward,
+            place.proxy.listen,
+            self,
+        )
+        await place.target.start()
+        await self.write_entry(place.target)
+
+    def _make_balancers(self):
+        ports = Ports(*map(self._port, (PACKETS, READY, PEER)))
+        hosts = range(1, len(self.store_proxies) + 1)
+        ips = [self.addresses.ip(BALANCER_GROUP, host) for host in hosts]
+        for index, ip in enumerate(ips):
+            domain = DOMAINS[index // self.size.balancers]
+            balancer = Balancer(
+                f'balancer-{index + 1}',
+                domain,
+                ip,
+                ports,
+                ips[:SEEDS],
+                self.store_proxies[index].listen,
+                self.directory,
+            )
+            self.balancers.append(balancer)
+            self.witness.balancer_names[ip] = balancer.name
+        self.routers = Routers(
+            [
+                Way(one.name, one.domain, one.packets, one.ready)
+                for one in self.balancers
+            ]
+        )
+
+    async def _wait_ready(self):
+        until_ms = self.clock.now_ms() + READY_MS
+        while not all(way.is_in for way in self.routers.ways):
+            if self.clock.now_ms() > until_ms:
+                raise TimeoutError('balancers did not become ready')
+            await asyncio.sleep(seconds(STEP_MS))
+
+    async def _start_clients(self):
+        for number, domain in enumerate(DOMAINS, 1):
+            address = self._endpoint(CLIENT_GROUP, number, PACKETS)
+            host = clients.ClientHost(domain, address, self)
+            await host.start()
+            self.hosts.append(host)
+            for count, load in LOADS:
+                route = self._route_of(load.service)
+                for index in range(count):
+                    name = f'{domain}-{load.kind.name}-{index}'
+                    user = clients.User(name, host, load, route, self.witness)
+                    self.spawn(user.run())
+
+    def spawn(self, coroutine) -> None:
+        """Run something until the end of the run."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.witness.breach(
+                'the soak itself works', repr(task.exception())
+            )
+
+    async def stop(self) -> None:
+        """End everything that was started here."""
+        for task in list(self._tasks):
+            task.cancel()
+        for balancer in self.balancers:
+            balancer.send(signal.SIGCONT)
+            await balancer.kill()
+        for host in self.hosts:
+            host.close()
+        for place in self.places:
+            if place.target.state is not State.ENDED:
+                place.target.end()
+            place.proxy.close()
+        for proxy in self.store_proxies:
+            proxy.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _tick_forever(self):
+        due_ms = self.clock.now_ms()
+        while True:
+            now_ms = self.clock.now_ms()
+            self.lag_ms = max(self.lag_ms, now_ms - due_ms)
+            for host in self.hosts:
+                host.tick(now_ms)
+            for place in self.places:
+                if place.target is not None:
+                    place.target.tick(now_ms)
+            self._check_processes()
+            due_ms = now_ms + TICK_MS
+            await asyncio.sleep(seconds(TICK_MS))
+
+    def _check_processes(self):
+        for balancer in self.balancers:
+            if balancer.process is None or balancer.is_running:
+                continue
+            if not balancer.is_expected:
+                balancer.is_expected = True
+                self.witness.breach(
+                    'no process ends by itself',
+                    f'{balancer.name}: status {balancer.process.returncode}',
+                )
+
+    # What operator and targets write to the store.
+
+    async def _when_store_answers(self):
+        while self.store.trouble:
+            await asyncio.sleep(seconds(STEP_MS))
+
+    async def write_entry(self, target) -> None:
+        """Write the entry of a target that lives."""
+        await self._when_store_answers()
+        if target.state is not State.ENDED:
+            await self.store.write('servers', target.name, target.entry())
+
+    async def remove_entry(self, target) -> None:
+        """Remove the entry of a target."""
+        await self._when_store_answers()
+        if ('servers', target.name) in self.store.objects:
+            await self.store.remove('servers', target.name)
+
+    def add_route(self, service: str) -> Endpoint:
+        """Add a route; it holds with the next configuration."""
+        host = len(self.routes) + 1
+        route = self._endpoint(ROUTE_GROUP, host, ROUTE)
+        self.routes[route] = service
+        number = int.from_bytes(bytes(map(int, route.ip.split('.'))), 'big')
+        allowed = self.witness.route_services.setdefault(
+            (number, route.port), set()
+        )
+        allowed.add(service)
+        return route
+
+    def _route_of(self, service):
+        return next(k for k, one in self.routes.items() if one == service)
+
+    async def write_configuration(self) -> None:
+        """Write the routes as a new version."""
+        self.version += self.random.randint(1, 4)
+        document = {
+            'version': self.version,
+            'routes': [
+                {
+                    'name': f'route-{index}',
+                    'host': route.ip,
+                    'path_prefix': f'/{route.port}/',
+                    'type': 'idempotent',
+                    'backend': service,
+                }
+                for index, (route, service) in enumerate(self.routes.items())
+                if service
+            ],
+            'backends': [
+                {'name': service, 'health_check_path': '/health'}
+                for service in TARGETS_PER_DOMAIN
+            ],
+            'limits': {'idle_timeout_ms': 15_000},
+        }
+        await self._when_store_answers()
+        await self.store.write('config', 'main', document)
--- /dev/null
+++ b/soak/processes.py
@@ -0,0 +1,98 @@
+"""The real balancers, as processes that the soak starts and ends."""
+
+import asyncio
+import os
+from pathlib import Path
+import signal
+import sys
+
+import tomli_w
+
+from liftmount._internal.models.addresses import Endpoint
+from soak.promises import GRACE_MS
+
+
+class Balancer:
+    """One balancer: its settings, its process, and its log."""
+
+    def __init__(self, name, domain, ip, ports, seeds, store, directory):
+        self.name = name
+        self.domain = domain
+        self.ip = ip
+        self.packets = Endpoint(ip, ports.packets)
+        self.ready = Endpoint(ip, ports.ready)
+        self.directory: Path = directory / name
+        self.directory.mkdir()
+        self.log_path = self.directory / 'log'
+        self.process = None
+        self.is_expected = False
+        self._starting = asyncio.Lock()
+        self.settings = {
+            'node_name': name,
+            'zone': domain,
+            'ephemeral_ports': [ports.peer, ports.peer],
+            'seeds': [f'{seed}:{ports.peer}' for seed in seeds],
+            'listen': {
+                'packets': str(self.packets),
+                'ready': str(self.ready),
+            },
+            'bounds': {'grace_s': GRACE_MS // 1_000, 'max_flow_s': 60},
+            'platform': {'address': str(store)},
+        }
+        self.write_settings()
+
+    @property
+    def path(self) -> Path:
+        """Return where its settings lie."""
+        return self.directory / 'settings.toml'
+
+    def write_settings(self, text: str | None = None) -> None:
+        """Write the settings file, whole."""
+        part = self.path.with_suffix('.new')
+        part.write_text(text or tomli_w.dumps(self.settings))
+        part.rename(self.path)
+
+    async def start(self) -> None:
+        """Start a process, unless one is there."""
+        async with self._starting:
+            if not self.is_running:
+                await self._start()
+
+    async def _start(self):
+        environment = dict(os.environ, LIFTMOUNT_CONFIG=str(self.path))
+        with self.log_path.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'liftmount.platform',
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.is_expected = False
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether its process is there."""
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to its process."""
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.is_expected = True
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End its process at once."""
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    def memory_mb(self) -> float:
+        """Return how much memory its process holds."""
+        try:
+            statm = Path(f'/proc/{self.process.pid}/statm').read_text()
+        except OSError:
+            return 0.0
+        return int(statm.split()[1]) * os.sysconf('SC_PAGE_SIZE') / 2**20
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,171 @@
+"""What has to hold, judged by what clients and targets saw."""
+
+from collections import Counter
+
+from attrs import define
+from attrs import Factory
+from attrs import frozen
+
+from soak import transport
+from soak.clients import Kind
+
+# The bounds that the deployment is run with.
+DRAIN_MS = 3_000
+CONFIG_MS = 3_000
+CONTACT_MS = 4_000
+GRACE_MS = 6_000
+RECOVERY_MS = 12_000
+# What has to be served of what is asked after the last fault; the rules
+# ask for a quarter, our own balancers do far better.
+SERVED_SHARE = 0.95
+FEWEST_REQUESTS = 20
+
+
+@frozen
+class Breach:
+    """A promise that was broken, and what shows it."""
+
+    promise: str
+    at_ms: int
+    what: str
+
+
+@define
+class Touch:
+    """When something was last disturbed; whatever is now is ``inf``."""
+
+    until_ms: dict[str, float] = Factory(dict)
+
+    def disturb(self, name: str, until_ms: float) -> None:
+        """Note a disturbance that lasts until then."""
+        known = self.until_ms.get(name, 0)
+        self.until_ms[name] = max(known, until_ms)
+
+    def is_in_touch(self, name: str, now_ms: int) -> bool:
+        """Tell whether something has been well for the contact time."""
+        return now_ms - self.until_ms.get(name, -CONTACT_MS) >= CONTACT_MS
+
+
+class Witness:
+    """Hears what happens at the sockets of clients and targets."""
+
+    def __init__(self, clock, touch: Touch):
+        self.clock = clock
+        self.touch = touch
+        self.breaches = []
+        self.counts = Counter()
+        self.asked_requests = []
+        self.open_at = {}
+        self.balancer_names = {}
+        self.route_services = {}
+        self.leaving_ms = {}
+        self.disturbed_all_ms = 0
+        self._ran = {}
+        self._ran_requests = {}
+
+    def breach(self, promise: str, what: str) -> None:
+        """Note that a promise was broken."""
+        now_ms = self.clock.now_ms()
+        self.breaches.append(Breach(promise, now_ms, what))
+
+    # What targets see.
+
+    def changed(self, where: str, datagram: bytes) -> None:
+        """A packet arrived that its sender did not write so."""
+        self.breach('packets stay as they are', f'{where}: {datagram[:32]!r}')
+
+    def opening(self, target, packet) -> None:
+        """A target took an opening."""
+        self.counts['openings'] += 1
+        allowed = self.route_services.get(packet.destination, set())
+        if target.service not in allowed:
+            self.breach(
+                'flows reach their service',
+                f'{transport.flow_key(packet)} at {target.service}',
+            )
+        self._check_leaving(target, packet)
+
+    def _check_leaving(self, target, packet):
+        since_ms = self.leaving_ms.get(target.name)
+        if since_ms is None:
+            return
+        late_ms = self.clock.now_ms() - since_ms
+        if late_ms > DRAIN_MS and self.is_calm():
+            self.breach(
+                'leaving targets get no new flows',
+                f'{target.name} {late_ms} ms after it said so',
+            )
+
+    def is_calm(self) -> bool:
+        """Tell whether every balancer and the store are in touch.
+
+        Which balancer passed a packet on is not seen at a target.
+        """
+        now_ms = self.clock.now_ms()
+        names = [*self.balancer_names.values(), 'store']
+        return all(self.touch.is_in_touch(name, now_ms) for name in names)
+
+    def opened(self, target, key) -> None:
+        """The handshake of a flow reached its target."""
+        self.counts['opened'] += 1
+        self.open_at[key] = target
+
+    def ran(self, target, key, request) -> None:
+        """A target began work on a request."""
+        self.counts['ran'] += 1
+        if self._ran.setdefault(request['try'], target.name) != target.name:
+            self.breach('a try runs once', f'{request["try"]} ran again')
+        if request['kind'] != Kind.AT_MOST_ONCE.value:
+            return
+        first = self._ran_requests.setdefault(
+            request['request'], request['try']
+        )
+        if first != request['try']:
+            what = f'{request["request"]} ran as {first}, {request["try"]}'
+            self.breach('a request runs at most once', what)
+
+    # What clients see.
+
+    def reset(self, key, ip) -> None:
+        """A client got a reset that a balancer wrote."""
+        self.counts['resets'] += 1
+        target = self.open_at.get(key)
+        if target is None or not target.holds(key):
+            return
+        now_ms = self.clock.now_ms()
+        balancer = self.balancer_names.get(ip, ip)
+        if all(
+            self.touch.is_in_touch(name, now_ms)
+            for name in (target.name, balancer)
+        ):
+            self.breach(
+                'open flows stay while their target lives',
+                f'{key} at {target.name}, reset by {balancer}',
+            )
+
+    def mixed(self, wanted: str, got: str) -> None:
+        """A client got an answer to another request."""
+        self.breach('answers belong to requests', f'{got} for {wanted}')
+
+    def asked(self, load, started_ms, ended_ms, is_served) -> None:
+        """A request came to its end."""
+        self.counts['served' if is_served else 'unserved'] += 1
+        self.counts[f'asked {load.kind.value}'] += 1
+        self.asked_requests.append((started_ms, is_served))
+
+    # At the end.
+
+    def check_recovery(self, since_ms: int, until_ms: int) -> float:
+        """Judge what was asked after the last fault; return the share."""
+        found = [
+            is_served
+            for started_ms, is_served in self.asked_requests
+            if since_ms <= started_ms <= until_ms
+        ]
+        share = sum(found) / len(found) if found else 0.0
+        if len(found) < FEWEST_REQUESTS or share < SERVED_SHARE:
+            self.breach(
+                'service returns after the last fault',
+                f'{sum(found)} of {len(found)} requests were served',
+            )
+        return share
--- /dev/null
+++ b/soak/targets.py
@@ -0,0 +1,233 @@
+"""Targets: they hold flows, work on requests, drain, crash and end."""
+
+import asyncio
+from enum import Enum
+import json
+
+from attrs import define
+from attrs import Factory
+
+from liftmount._internal.clock import seconds
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.network.http import HTTP_OK
+from liftmount._internal.network.http import HttpAnswer
+from liftmount._internal.network.http import HttpServer
+from liftmount._internal.network.udp import UdpSocket
+from soak import transport
+from soak.transport import Packet
+
+NUMBER_BYTES = 8
+SLOTS = 3
+QUEUE = 12
+# An end gives a flow up after this many resends without progress.
+MOST_RESENDS = 8
+
+
+class State(Enum):
+    """The life of a target."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    ENDED = 'ended'
+
+
+@define(eq=False)
+class ServedFlow:
+    """A flow as its target holds it; open once the handshake is done."""
+
+    key: tuple
+    end: transport.End
+    tag: int
+    is_open: bool = False
+    has_ended: bool = False
+    buffer: bytearray = Factory(bytearray)
+
+
+class Target:
+    """One start of an endpoint: its number is its own alone.
+
+    ``listen`` is where it takes packets, ``address`` what its entry says
+    (a proxy in front of it), ``client_port`` where clients take theirs.
+    ``witness`` hears what happens (see ``promises.Witness``).
+    """
+
+    def __init__(self, number, service, domain, listen, address, world):
+        self.number = number
+        self.name = f'i-{number:x}'
+        self.service = service
+        self.domain = domain
+        self.listen: Endpoint = listen
+        self.address: Endpoint = address
+        self.clock = world.clock
+        self.witness = world.witness
+        self.client_port = world.client_port
+        self.state = State.READY
+        self.factor = 1.0
+        self.flows = {}
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.taken = 0
+        self._udp = None
+        self._health = HttpServer(self._answer_health)
+        self._tasks = set()
+
+    async def start(self) -> None:
+        """Listen for packets and health checks."""
+        self._udp = await UdpSocket.bind(self.listen, self._on_datagram)
+        await self._health.start(self.listen)
+
+    def entry(self) -> dict:
+        """Return the entry that it keeps of itself in the store."""
+        return {
+            'backend': self.service,
+            'address': str(self.address),
+            'zone': self.domain,
+            'version': 'v1',
+            'capacity': SLOTS,
+            'state': self.state.value,
+            'warmup_left_ms': 0,
+            'sequence': 1,
+        }
+
+    def end(self) -> None:
+        """End at once; its flows are forgotten."""
+        self.state = State.ENDED
+        self.flows.clear()
+        self._health.close()
+        self._udp.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def holds(self, key: tuple) -> bool:
+        """Tell whether a flow is open here."""
+        flow = self.flows.get(key)
+        return flow is not None and flow.is_open and not flow.has_ended
+
+    @staticmethod
+    def _answer_health(_path):
+        return HttpAnswer(HTTP_OK, b'', {})
+
+    # Packets.
+
+    def _on_datagram(self, data, source):
+        meant = int.from_bytes(data[:NUMBER_BYTES], 'big')
+        if meant not in (0, self.number):
+            return
+        datagram = data[NUMBER_BYTES:]
+        if not transport.is_unchanged(datagram):
+            self.witness.changed(self.name, datagram)
+            return
+        packet = transport.decode(datagram)
+        key = transport.flow_key(packet)
+        flow = self.flows.get(key)
+        if packet.flags & transport.SYN:
+            self._opening(packet, key, flow)
+        elif flow is None or flow.has_ended:
+            self._not_held(packet, key, flow)
+        else:
+            self._take(packet, flow)
+
+    def _opening(self, packet, key, flow):
+        if flow is None:
+            self.witness.opening(self, packet)
+            flow = ServedFlow(key, None, packet.tag)
+            flow.end = transport.End(
+                lambda *what: self._send(flow, *what),
+                # Any number will do; it shows which target answered.
+                (self.number * 7_919 + packet.sequence) & transport.MASK,
+                (packet.sequence + 1) & transport.MASK,
+            )
+            self.flows[key] = flow
+        if not flow.is_open:
+            flow.tag = packet.tag
+            flags = transport.SYN | transport.ACK
+            self._send(flow, flags, flow.end.sequence, b'')
+
+    def _take(self, packet, flow):
+        flow.tag = packet.tag
+        if not flow.is_open:
+            expected = (flow.end.sequence + 1) & transport.MASK
+            if packet.acknowledgement != expected:
+                # The client chose another target.
+                return
+            flow.is_open = True
+            flow.end.sequence = expected
+            self.witness.opened(self, flow.key)
+        if packet.flags & transport.RST:
+            flow.has_ended = True
+            return
+        flow.buffer += flow.end.take(packet, self.clock.now_ms())
+        self._serve(flow)
+        if flow.end.was_closed:
+            flow.end.close(self.clock.now_ms())
+            flow.has_ended = True
+
+    def _not_held(self, packet, key, flow):
+        """Answer for a flow that is not here, or not any more."""
+        is_data = bool(packet.payload)
+        if packet.flags & transport.RST or not (flow is None or is_data):
+            return
+        answer = Packet(
+            packet.acknowledgement,
+            packet.sequence,
+            packet.source,
+            packet.destination,
+            packet.tag,
+            transport.RST,
+        )
+        self._udp.send(answer.encode(), (_ip(key[0]), self.client_port))
+
+    def _send(self, flow, flags, sequence, data):
+        client = flow.key[:2]
+        packet = Packet(
+            sequence,
+            flow.end.received,
+            client,
+            flow.key[2:],
+            flow.tag,
+            flags,
+            data,
+        )
+        self._udp.send(packet.encode(), (_ip(client[0]), self.client_port))
+
+    # Requests.
+
+    def _serve(self, flow):
+        while b'\n' in flow.buffer:
+            line, _newline, rest = bytes(flow.buffer).partition(b'\n')
+            flow.buffer = bytearray(rest)
+            task = asyncio.create_task(self._work(flow, json.loads(line)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _work(self, flow, request):
+        if self.taken >= SLOTS + QUEUE:
+            self._answer(flow, request, 'not run')
+            return
+        self.taken += 1
+        try:
+            async with self.slots:
+                self.witness.ran(self, flow.key, request)
+                await asyncio.sleep(seconds(request['work_ms'] * self.factor))
+        finally:
+            self.taken -= 1
+        self._answer(flow, request, 'done')
+        if self.state is State.DRAINING:
+            flow.end.close(self.clock.now_ms())
+
+    def _answer(self, flow, request, outcome):
+        answer = {'try': request['try'], 'outcome': outcome}
+        answer['filler'] = 'x' * request['answer_bytes']
+        data = json.dumps(answer).encode() + b'\n'
+        flow.end.write(data, self.clock.now_ms())
+
+    def tick(self, now_ms: int) -> None:
+        """Send again what is due; forget flows that got no answer."""
+        for key, flow in list(self.flows.items()):
+            if flow.end.resends > MOST_RESENDS:
+                del self.flows[key]
+            else:
+                flow.end.tick(now_ms)
+
+
+def _ip(number):
+    return '.'.join(map(str, number.to_bytes(4, 'big')))
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -19,6 +19,8 @@
 HTTP_GONE = 410
 # What each kind of trouble answers; None is no answer at all.
 TROUBLES = {'answers 503': 503, 'answers 429': 429, 'says nothing': None}
+SLOW_S = 0.4
+LOST_S = 3_600
 BROKEN = b'{"items": 5, "events": [{"object": 3}], "current_rev": "x"}'
 
 
@@ -88,9 +90,14 @@
         elif self.trouble in TROUBLES:
             status = TROUBLES[self.trouble]
             if status is None:
-                await asyncio.sleep(3_600)
+                await asyncio.sleep(LOST_S)
             return web.Response(status=status)
-        return await handler(request)
+        elif self.trouble == 'is slow':
+            await asyncio.sleep(SLOW_S)
+        answer = await handler(request)
+        if self.trouble == 'loses answers':
+            await asyncio.sleep(LOST_S)
+        return answer
 
     # Changes.
 
