Hand doubts over with what is known, and former targets too

A member that pulled all of a peer's knowledge (a new version made it) took the peer's doubted targets for listed ones, at a revision after which no change would correct that. Any domain with a configuration change within 2.5 s of a target that leaves without draining was open to it. Ruled out: the store's answers and the beats (no balancer that only heard those believed the target again). Change: knowledge tells listed, doubted (with the time left) and former targets apart; former ones are found by their tags at a newcomer, for as long as the peer knows them. And a flow to a target that is gone is reset only when probes have proved the target dead: a request of one segment is sent again at 200 and 600 ms while a busy target works on it, and a target that left without draining serves on.

--- a/src/liftmount/_internal/decisions/directory.py
+++ b/src/liftmount/_internal/decisions/directory.py
@@ -10,6 +10,7 @@
 from attrs import define
 from attrs import Factory
 
+from liftmount._internal.models.feeds import Expiring
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
 from liftmount._internal.models.segments import TargetEntry
@@ -22,11 +23,15 @@
 
 @message
 class TargetsListed(Message):
-    """A whole list of entries, as of ``revision``."""
+    """A whole list of entries, as of ``revision``.
+
+    A peer that tells it also says which entries it doubts.
+    """
 
     entries: tuple[TargetEntry, ...]
     revision: int
     now_ms: int
+    doubted: tuple[Expiring, ...] = ()
 
 
 @message
@@ -80,6 +85,21 @@
     revision: int = 0
     trusted_from_ms: int = 0
 
+    def listed(self) -> tuple[TargetEntry, ...]:
+        """Return the entries that are in the store."""
+        return tuple(
+            entry
+            for name, entry in self.entries.items()
+            if name not in self.doubted
+        )
+
+    def doubts(self, now_ms: int) -> tuple[Expiring, ...]:
+        """Return the entries that vanished of late."""
+        return tuple(
+            Expiring(self.entries[name], max(0, until_ms - now_ms))
+            for name, until_ms in self.doubted.items()
+        )
+
 
 def decide(state: DirectoryState, event) -> list:
     """Return what changed in the belief."""
@@ -107,9 +127,25 @@
     present = {entry.name for entry in event.entries}
     for name in [one for one in state.entries if one not in present]:
         actions += _removed(state, name, event.now_ms)
+    for doubt in event.doubted:
+        actions += _take_doubt(state, doubt, event.now_ms)
     return actions
 
 
+def _take_doubt(state, doubt, now_ms):
+    """Expiring what a peer doubts, for no longer than it does."""
+    name = doubt.entry.name
+    until_ms = now_ms + doubt.left_ms
+    if name in state.doubted:
+        state.doubted[name] = min(state.doubted[name], until_ms)
+        return []
+    if name in state.entries:
+        return []
+    state.entries[name] = doubt.entry
+    state.doubted[name] = until_ms
+    return [EntryDoubted(doubt.entry)]
+
+
 def _changed(state, event):
     state.revision = max(state.revision, event.revision)
     actions = []
--- a/src/liftmount/_internal/decisions/flow_table.py
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -16,6 +16,7 @@
 from liftmount._internal.decisions.pool import TargetLoad
 from liftmount._internal.decisions.target_health import TargetHealth
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import Expiring
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.segments import Segment
@@ -168,6 +169,14 @@
     state.flows.pop(flow.key, None)
 
 
+def former_targets(state: ForwardingState, now_ms: int) -> tuple:
+    """Return an Expiring for each target that is gone, but not forgotten."""
+    return tuple(
+        Expiring(state.tags.entries[name], max(0, until_ms - now_ms))
+        for name, until_ms in state.former.items()
+    )
+
+
 def domain_loads(state: ForwardingState, members: int, now_ms: int) -> tuple:
     """Return a DomainLoad for each service with targets.
 
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -20,6 +20,7 @@
 from liftmount._internal.decisions.target_health import TargetSilent
 from liftmount._internal.models.flow_messages import Answered
 from liftmount._internal.models.flow_messages import Drop
+from liftmount._internal.models.flow_messages import FormerTarget
 from liftmount._internal.models.flow_messages import Forward
 from liftmount._internal.models.flow_messages import Placed
 from liftmount._internal.models.flow_messages import RefusalReason
@@ -80,6 +81,8 @@
             return _put(state, event)
         case TargetRemoved():
             return _remove(state, event)
+        case FormerTarget():
+            return _add_former(state, event)
         case TargetsSettled():
             state.has_targets = bool(state.tags.entries)
             return _release(state, event.now_ms)
@@ -246,7 +249,6 @@
         return [*actions, _refuse(segment, RefusalReason.TARGET_GONE)]
     actions += _note_progress(state, segment, flow, now_ms)
     flow.seen_ms = now_ms
-    is_stuck = flow.resends >= RESENDS_TO_DOUBT
     if segment.resets or segment.closes:
         close_flow(state, flow, now_ms)
     elif state.health.is_proven_dead(flow.target, now_ms):
@@ -256,10 +258,6 @@
     elif state.health.is_dead(flow.target):
         # Found dead a while ago: it may be back, so it is asked again.
         actions.append(TargetSilent(flow.target, now_ms))
-    elif is_stuck and flow.target in state.former:
-        end_flow(state, flow, now_ms)
-        reason = RefusalReason.TARGET_GONE
-        return [*actions, _refuse(segment, reason, flow.target)]
     actions.append(Forward(segment, entry, flow.tag))
     return actions
 
@@ -418,6 +416,15 @@
     return []
 
 
+def _add_former(state, event):
+    """Find the flows of a target that was gone before this one started."""
+    name = event.entry.name
+    if name not in state.tags.entries:
+        state.tags.add(event.entry)
+        state.former[name] = event.until_ms
+    return []
+
+
 def _died(state, event):
     entry = state.tags.entries.get(event.name)
     if entry is None:
--- a/src/liftmount/_internal/models/feeds.py
+++ b/src/liftmount/_internal/models/feeds.py
@@ -28,14 +28,28 @@
     base: int = 0
 
 
+@message
+class Expiring(Message):
+    """A target that is known for ``left_ms`` more."""
+
+    entry: TargetEntry
+    left_ms: int
+
+
 @message
 class Knowledge(Message):
-    """All targets and routes, each as of a revision of the store."""
+    """All targets and routes, each as of a revision of the store.
+
+    ``targets`` are in the store, ``doubted`` have vanished from it of
+    late, and ``former`` are gone, but may still hold flows.
+    """
 
     targets: tuple[TargetEntry, ...]
     targets_revision: int
     table: RouteTable | None
     routes_revision: int
+    doubted: tuple[Expiring, ...] = ()
+    former: tuple[Expiring, ...] = ()
 
 
 @message
--- a/src/liftmount/_internal/models/flow_messages.py
+++ b/src/liftmount/_internal/models/flow_messages.py
@@ -42,6 +42,14 @@
     is_doubted: bool = False
 
 
+@message
+class FormerTarget(Message):
+    """A peer tells of a target that is gone, but may still hold flows."""
+
+    entry: TargetEntry
+    until_ms: int
+
+
 @message
 class TargetsSettled(Message):
     """All that the store told at once about targets is taken over.
--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -11,6 +11,7 @@
 
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.feeds import Expiring
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import member_record
@@ -99,6 +100,8 @@
         knowledge.targets_revision,
         None if table is None else _encode_table(table),
         knowledge.routes_revision,
+        _encode_expiring(knowledge.doubted),
+        _encode_expiring(knowledge.former),
     ]
     return zlib.compress(cbor2.dumps(document), 1)
 
@@ -108,14 +111,17 @@
     try:
         unpacker = zlib.decompressobj()
         document = unpacker.decompress(data, MAX_KNOWLEDGE_BYTES)
-        targets, targets_revision, table, routes_revision = cbor2.loads(
+        targets, targets_revision, table, routes_revision, *old = cbor2.loads(
             document
         )
+        doubted, former = old
         return Knowledge(
             targets=tuple(_decode_target(one) for one in targets),
             targets_revision=int(targets_revision),
             table=None if table is None else _decode_table(table),
             routes_revision=int(routes_revision),
+            doubted=_decode_expiring(doubted),
+            former=_decode_expiring(former),
         )
     except Exception as error:
         # The libraries raise whatever the bytes make them stumble over.
@@ -165,6 +171,17 @@
     )
 
 
+def _encode_expiring(targets):
+    return [[_encode_target(one.entry), one.left_ms] for one in targets]
+
+
+def _decode_expiring(pairs):
+    return tuple(
+        Expiring(_decode_target(fields), int(left_ms))
+        for fields, left_ms in pairs
+    )
+
+
 def _encode_table(table):
     routes = [
         [
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -15,7 +15,6 @@
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.envelopes import decode_peer
-from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.models.feeds import TargetUnknown
@@ -30,7 +29,6 @@
 from liftmount._internal.models.knowledge import is_beat
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
-from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.ticks import Tick
 from liftmount._internal.network.http import HTTP_NOT_FOUND
 from liftmount._internal.network.http import HTTP_OK
@@ -372,13 +370,7 @@
             targets_revision=knowledge.targets_revision,
             version=knowledge.table.version if knowledge.table else None,
         )
-        if knowledge.table is not None:
-            table: RouteTable = knowledge.table
-            listing = Listing((table,), knowledge.routes_revision)
-            self.packets.post(FeedNews(ROUTES, listing))
-        if knowledge.targets:
-            listing = Listing(knowledge.targets, knowledge.targets_revision)
-            self.packets.post(FeedNews(TARGETS, listing))
+        self.packets.post(knowledge)
         event = spreading.KnowledgeChanged(
             max(self.spread.targets_revision, knowledge.targets_revision),
             max(self.spread.routes_revision, knowledge.routes_revision),
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -10,6 +10,7 @@
 from liftmount._internal.decisions import overflow
 from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.flow_table import domain_loads
+from liftmount._internal.decisions.flow_table import former_targets
 from liftmount._internal.decisions.flow_table import ForwardingState
 from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.exceptions import PacketError
@@ -168,6 +169,8 @@
         match posted:
             case FeedNews():
                 self._take(posted, now_ms)
+            case Knowledge():
+                self._take_knowledge(posted, now_ms)
             case DomainMembers():
                 self._domain = posted
             case FeedFailed():
@@ -193,13 +196,33 @@
             )
             self._settle(directory.decide(self.directory, event), now_ms)
 
+    def _take_knowledge(self, known, now_ms):
+        """Take over all that a peer knows."""
+        for one in known.former:
+            until_ms = now_ms + one.left_ms
+            event = flows.FormerTarget(one.entry, until_ms)
+            self._execute(forwarding.decide(self.state, event))
+        if known.targets:
+            event = directory.TargetsListed(
+                known.targets, known.targets_revision, now_ms, known.doubted
+            )
+            self._settle(directory.decide(self.directory, event), now_ms)
+        if known.table is not None:
+            self._take_routes(known.table, now_ms)
+            self.routes_revision = max(
+                self.routes_revision, known.routes_revision
+            )
+
     def knowledge(self) -> Knowledge:
         """Return all that is known, with the revisions that go with it."""
+        now_ms = self.clock.now_ms()
         return Knowledge(
-            targets=tuple(self.directory.entries.values()),
+            targets=self.directory.listed(),
             targets_revision=self.directory.revision,
             table=self.state.table,
             routes_revision=self.routes_revision,
+            doubted=self.directory.doubts(now_ms),
+            former=former_targets(self.state, now_ms),
         )
 
     def _settle(self, actions, now_ms):
--- a/tests/features/decisions/beliefs.feature
+++ b/tests/features/decisions/beliefs.feature
@@ -42,6 +42,27 @@
       | written, listed without, wait 2600                 | gone     |
       | written, old list without, wait 2600               | believed |
 
+  Scenario Outline: What a peer doubts is doubted here, for as long
+    Given a peer that heard of a target: <peer>
+    When the store tells in this order: <events>
+    And the peer hands over what it knows, and <interval> ms go by
+    Then the target is <belief>
+
+    Examples:
+      | peer                        | events           | interval | belief   |
+      | written                     | nothing          | 0        | believed |
+      | written                     | written          | 2600     | believed |
+      | written, removed            | written          | 0        | doubted  |
+      | written, removed            | written          | 2600     | gone     |
+      | written, removed            | nothing          | 0        | doubted  |
+      | written, removed            | nothing          | 2600     | gone     |
+      | written, removed, wait 2000 | nothing          | 400      | doubted  |
+      | written, removed, wait 2000 | nothing          | 600      | gone     |
+      | written, removed, wait 2000 | written          | 600      | gone     |
+      | written, removed            | written, removed | 2600     | gone     |
+      | written, removed, wait 2600 | written          | 2600     | gone     |
+      | written, lost, removed      | written          | 0        | doubted  |
+
   Scenario Outline: The store is followed without gaps
     When calls end in this order: <events>
     Then the next call is <call>
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -35,6 +35,7 @@
 TICK_MS = 20
 FLOW_MAX_AGE_MS = 60_000
 CLIENT_DATA_BYTES = 100
+FORMER_LEFT_MS = 30_000
 
 
 def make_entry(name, service, domain='a', number=None, draining=False):
@@ -423,6 +424,43 @@
     balancer.feed(flows.TargetRemoved(name, balancer.now_ms))
 
 
+@given('the target {number:d} of {service} that left before, as a peer tells')
+def former_target(context, number, service):
+    balancer = context.balancer
+    entry = make_entry('former', service, number=number)
+    until_ms = balancer.now_ms + FORMER_LEFT_MS
+    balancer.feed(flows.FormerTarget(entry, until_ms))
+    context.number = number
+
+
+@when('a segment of client {client:d} to {address} arrives with its tag, '
+      '{after:d} ms later')  # fmt: skip
+def segment_with_its_tag(context, client, address, after):
+    balancer = context.balancer
+    balancer.pass_time(after)
+    balancer.send(client, address, tag_of(context.number))
+
+
+@then('it is forwarded there')
+def forwarded_there(context):
+    (found,) = forwards(context.balancer.last)
+    assert found.target.number == context.number, found
+
+
+@then('it is not known any more')
+def not_known(context):
+    kinds = [type(one) for one in context.balancer.last]
+    assert kinds == [flows.TargetsNeeded], kinds
+
+
+@then('new flows go elsewhere')
+def new_flows_elsewhere(context):
+    balancer = context.balancer
+    for client in range(100, 130):
+        balancer.send(client, '198.51.0.1:8443', opens=True)
+        assert 'former' not in balancer.openings(client)
+
+
 @then('the target of client 1 got none of them')
 def target_got_none(context):
     assert count_at(context, context.target) == 0
