--- /dev/null
+++ b/tests/features/steps/soak_steps.py
@@ -0,0 +1,321 @@
+"""Steps on the fault soak: its runs, its judges, its transport."""
+
+import asyncio
+import random
+
+from attrs import define
+from behave import given
+from behave import then
+from behave import when
+
+from liftmount._internal.clock import ManualClock
+from soak import faults
+from soak import promises
+from soak import run
+from soak import transport
+from soak.clients import Kind
+from soak.clients import Load
+from soak.deployment import Size
+from soak.proxy import Harm
+
+SEED = 7
+LENGTH_MS = 8_000
+NOW_MS = 100_000
+ROUTE = (0x7F010101, 443)
+FLOW = (0x7F010202, 10_001, *ROUTE)
+BALANCER_IP = '127.0.0.9'
+TICK_MS = 20
+LAST_MS = 300_000
+
+PLANS = {
+    'a balancer is stopped, and another': (
+        faults.BalancerStopped(1_000, 0, 300),
+        faults.BalancerStopped(2_500, 3, 300),
+    ),
+    'targets are replaced one by one': (
+        faults.TargetReplaced(500, 0, False),
+        faults.TargetReplaced(2_000, 3, True),
+        faults.TargetReplaced(3_500, 2, False),
+    ),
+    'targets leave as routes change': (
+        faults.TargetReplaced(500, 0, True),
+        faults.RoutesChanged(1_200, True),
+        faults.RoutesChanged(2_100, True),
+        faults.RoutesChanged(3_000, False),
+    ),
+    'settings change, good and bad': (
+        faults.SettingsChanged(500, 0, True, True),
+        faults.SettingsChanged(700, 1, False, True),
+        faults.SettingsChanged(900, 2, False, False),
+        faults.SettingsChanged(1_100, 2, True, True),
+    ),
+    'balancers are killed and paused': (
+        faults.BalancerKilled(500, 0, 800),
+        faults.BalancerPaused(1_500, 2, 2_000),
+        faults.AllKilled(4_500, 'b', 500),
+    ),
+    'a target is cut off, and another': (
+        faults.TargetLinkHarmed(500, 0, Harm.RESET, 4_500),
+        faults.TargetLinkHarmed(2_000, 4, Harm.SILENT, 2_000),
+        faults.TargetLinkHarmed(5_000, 6, Harm.DELAYED, 1_500),
+    ),
+    'targets crash and addresses are reused': (
+        faults.TargetCrashed(500, 0, 2_500, True),
+        faults.TargetCrashed(1_500, 4, 1_500, False),
+    ),
+    'the store fails in every way': (
+        faults.StoreTroubled(500, 'says nothing', 1_500),
+        faults.HistoryForgotten(2_500),
+        faults.StoreTroubled(3_000, 'answers 503', 1_000),
+        faults.RoutesChanged(3_200, True),
+        faults.EntriesLapsed(5_000, 1_500),
+        faults.StoreLinkHarmed(6_000, 0, Harm.ONE_WAY, 1_500),
+    ),
+}
+
+
+@given('the faults {name}')
+def the_faults(context, name):
+    context.plan = PLANS[name]
+
+
+@when('they are played on {count:d} balancers in each domain')
+def faults_played(context, count):
+    play(context, SEED, count, context.plan)
+
+
+@when('seed {seed:d} is played on {count:d} balancers in each domain')
+def seed_played(context, seed, count):
+    play(context, seed, count, ())
+
+
+def play(context, seed, balancers, plan):
+    """Play faults in this process."""
+    length_ms = LENGTH_MS if balancers == 2 else Size().length_ms
+    size = Size(length_ms, balancers)
+    context.outcome = asyncio.run(
+        run.play(seed, size, context.directory, plan)
+    )
+
+
+@then('no promise is broken')
+def none_broken(context):
+    assert not context.outcome.breaches, context.outcome
+
+
+@then('at least {share:g} of all requests were served')
+def share_served(context, share):
+    counts = context.outcome.counts
+    served = counts['served']
+    asked = served + counts.get('unserved', 0)
+    assert served >= share * asked, counts
+
+
+# Judges.
+
+
+@define(eq=False)
+class FakeTarget:
+    """A target as far as a witness looks at it."""
+
+    name: str
+    service: str = 'guide'
+    keys: tuple = (FLOW,)
+
+    def holds(self, key):
+        """Tell whether a flow is open here."""
+        return key in self.keys
+
+
+@given('a witness to whom all balancers are in touch')
+def witness(context):
+    context.clock = ManualClock(NOW_MS)
+    context.touch = promises.Touch()
+    context.witness = promises.Witness(context.clock, context.touch)
+    context.witness.balancer_names[BALANCER_IP] = 'balancer-1'
+    context.witness.route_services[ROUTE] = {'guide'}
+
+
+def make_request(kind, attempt):
+    """Return a request as targets see it."""
+    return {'try': f'r.{attempt}', 'request': 'r', 'kind': kind.value}
+
+
+def run_tries(context, kind, *attempts):
+    """Let tries run, each at a target of its own."""
+    for number, attempt in enumerate(attempts):
+        target = FakeTarget(f'i-{number}')
+        context.witness.ran(target, FLOW, make_request(kind, attempt))
+
+
+def open_at(context, service='guide', left_ms=None):
+    """Let an opening reach a target, maybe one that left."""
+    target = FakeTarget('i-1', service)
+    if left_ms is not None:
+        context.witness.leaving_ms['i-1'] = NOW_MS - left_ms
+    packet = transport.Packet(1, 0, ROUTE, FLOW[:2], 0, transport.SYN)
+    context.witness.opening(target, packet)
+
+
+def reset(context, cut_ms=None, keys=(FLOW,), is_open=True):
+    """Let a client see a reset of a balancer."""
+    target = FakeTarget('i-1', keys=keys)
+    if is_open:
+        context.witness.opened(target, FLOW)
+    if cut_ms is not None:
+        context.touch.disturb('i-1', NOW_MS - cut_ms)
+    context.witness.reset(FLOW, BALANCER_IP)
+
+
+def ask(context, served, asked):
+    """Let requests come to their end after the last fault."""
+    load = Load(Kind.STREAM, 'guide', 1, 1, 1)
+    for number in range(asked):
+        context.witness.asked(load, NOW_MS, NOW_MS, number < served)
+    context.witness.check_recovery(NOW_MS, NOW_MS)
+
+
+EVENTS = {
+    'a request runs': lambda c: run_tries(c, Kind.AT_MOST_ONCE, 0),
+    'a try runs at two targets': lambda c: run_tries(c, Kind.STREAM, 0, 0),
+    'a request that must not be repeated runs in two tries': lambda c: (
+        run_tries(c, Kind.AT_MOST_ONCE, 0, 1)
+    ),
+    'a request that may be repeated runs in two tries': lambda c: run_tries(
+        c, Kind.STREAM, 0, 1
+    ),
+    'an opening reaches a target of its service': open_at,
+    'an opening reaches a target of another service': lambda c: open_at(
+        c, 'tiles'
+    ),
+    'an opening reaches a target that left 2900 ms ago': lambda c: open_at(
+        c, left_ms=2_900
+    ),
+    'an opening reaches a target that left 3100 ms ago': lambda c: open_at(
+        c, left_ms=3_100
+    ),
+    'an open flow is reset while its target lives': reset,
+    'an open flow is reset 4100 ms after its target was cut off': lambda c: (
+        reset(c, cut_ms=4_100)
+    ),
+    'an open flow is reset 3900 ms after its target was cut off': lambda c: (
+        reset(c, cut_ms=3_900)
+    ),
+    'an open flow is reset after its target ended': lambda c: reset(
+        c, keys=()
+    ),
+    'a flow that is not open is reset': lambda c: reset(c, is_open=False),
+    'an answer belongs to another request': lambda c: c.witness.mixed(
+        'r.0', 's.0'
+    ),
+    '94 of 100 requests are served at the end': lambda c: ask(c, 94, 100),
+    '95 of 100 requests are served at the end': lambda c: ask(c, 95, 100),
+    '5 of 5 requests are served at the end': lambda c: ask(c, 5, 5),
+}
+
+
+@when('it hears that {event}')
+def hears(context, event):
+    EVENTS[event](context)
+
+
+@then('it notes nothing')
+def notes_nothing(context):
+    assert not context.witness.breaches, context.witness.breaches
+
+
+@then('it notes "{promise}"')
+def notes(context, promise):
+    found = [one.promise for one in context.witness.breaches]
+    assert found == [promise], found
+
+
+# Transport.
+
+
+@given('a packet with data')
+def packet_with_data(context):
+    context.packet = transport.Packet(
+        77, 5, ROUTE, FLOW[:2], 99, transport.ACK, b'data'
+    )
+    context.datagram = context.packet.encode()
+
+
+@when('its {part} changes')
+def part_changes(context, part):
+    offsets = {'tag': 22, 'data': 33, 'sequence': 0, 'source': 16}
+    changed = bytearray(context.datagram)
+    changed[offsets.get(part, 30)] ^= 1
+    context.datagram = bytes(changed)
+
+
+@then('it counts as changed: {answer}')
+def counts_as_changed(context, answer):
+    is_changed = not transport.is_unchanged(context.datagram)
+    assert is_changed == (answer == 'yes')
+
+
+@when('{count:d} bytes go each way and {loss:g} of the packets are lost')
+def bytes_go(context, count, loss):
+    rng = random.Random(SEED)
+    context.data = [rng.randbytes(count) for _ in range(2)]
+    context.got = [b'', b'']
+    wires = ([], [])
+    ends = []
+    for side in range(2):
+
+        def send(flags, sequence, data, side=side):
+            if rng.random() >= loss:
+                end = ends[side]
+                packet = transport.Packet(
+                    sequence, end.received, ROUTE, ROUTE, 0, flags, data
+                )
+                wires[1 - side].append(packet)
+
+        ends.append(transport.End(send, 1_000 * side, 1_000 * (1 - side)))
+    for end, data in zip(ends, context.data, strict=True):
+        end.write(data, 0)
+    for now_ms in range(0, LAST_MS, TICK_MS):
+        for side, end in enumerate(ends):
+            arrived, wires[side][:] = list(wires[side]), []
+            for packet in arrived:
+                context.got[side] += end.take(packet, now_ms)
+            end.tick(now_ms)
+
+
+@then('both ends hold what the other one wrote')
+def both_hold(context):
+    assert context.got[0] == context.data[1]
+    assert context.got[1] == context.data[0]
+
+
+# Plans.
+
+
+@when('plans are drawn of the seeds 1, 1 and 2')
+def plans_drawn(context):
+    context.plans = [
+        faults.draw_plan(seed, 20_000, 6, 9) for seed in (1, 1, 2)
+    ]
+
+
+@then('the first two are alike and the third is not')
+def plans_alike(context):
+    first, second, third = context.plans
+    assert first == second != third
+
+
+@then('{count:d} seeds bring about every kind of fault')
+def every_kind(context, count):
+    drawn = {
+        type(fault)
+        for seed in range(count)
+        for fault in faults.draw_plan(seed, 20_000, 6, 9)
+    }
+    groups = {faults.Fault, faults.BalancerFault, faults.TargetFault}
+    kinds = {
+        one
+        for one in vars(faults).values()
+        if isinstance(one, type) and issubclass(one, faults.Fault)
+    }
+    assert drawn == kinds - groups, kinds - groups - drawn
