--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -28,8 +28,8 @@
 from liftmount._internal.models import actions as act
 from liftmount._internal.models import events
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.members import Member
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.ticks import Tick
 
 ENDPOINTS = (100, 1_000, 5_000, 27_000)
--- a/benches/path.py
+++ b/benches/path.py
@@ -17,6 +17,7 @@
 from stand_ins import history
 from stand_ins.deployment import call
 from stand_ins.deployment import Deployment
+from stand_ins.deployment import list_stored
 from stand_ins.plans import ALL_PLANS
 
 SETTLE_S = 4.0
@@ -69,8 +70,8 @@
     start_s = time.monotonic()
     version = int(done.stdout.split()[-1].rstrip('.'))
     while True:
-        statuses = call(deployment.platform, '/objects?kinds=status')
-        values = [one['value'] for one in statuses['objects']]
+        statuses = list_stored(deployment.platform, 'status')
+        values = [one.value for one in statuses]
         if all(
             one['revision'] >= version and not one['missing'] for one in values
         ):
--- a/src/liftmount/_internal/cli/base.py
+++ b/src/liftmount/_internal/cli/base.py
@@ -13,7 +13,7 @@
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.models.problems import Problem
 from liftmount._internal.models.settings import PlatformSettings
-from liftmount._internal.platform.client import PlatformClient
+from liftmount._internal.store.interface import ObjectStore
 from liftmount._internal.utils.documents import read_toml
 from liftmount._internal.utils.documents import structure
 
@@ -24,7 +24,8 @@
 STATUS_UNAVAILABLE = 4
 STATUS_NOT_IN_FORCE = 5
 PLATFORM_VARIABLE = 'LIFTMOUNT_PLATFORM'
-CALLER = 'tool'
+# Calls may come from any address of the host.
+ANY_IP = ''
 
 
 @frozen
@@ -50,9 +51,9 @@
         raise NotImplementedError
 
 
-def platform_client(options: Namespace) -> PlatformClient:
-    """Return a client of the platform that the options name."""
-    return PlatformClient(_platform_settings(options), CALLER)
+def open_store(options: Namespace) -> ObjectStore:
+    """Return a client of the store that the options name."""
+    return options.make_store(_platform_settings(options), ANY_IP)
 
 
 def _platform_settings(options):
--- a/src/liftmount/_internal/cli/daemon.py
+++ b/src/liftmount/_internal/cli/daemon.py
@@ -40,8 +40,11 @@
 FAREWELL_MS = 100
 
 
-def build_kernel(settings: Settings, clock: Clock) -> Kernel:
-    """Return a kernel with all services of a balancer."""
+def build_kernel(settings: Settings, clock: Clock, make_store) -> Kernel:
+    """Return a kernel with all services of a balancer.
+
+    ``make_store(settings, local_ip)`` returns an ObjectStore.
+    """
     identity = Identity(
         name=settings.instance.name,
         failure_domain=settings.instance.failure_domain,
@@ -57,16 +60,17 @@
     kernel.register(DataService(*common))
     kernel.register(TargetService(kernel, settings, counters))
     kernel.register(ControlService(*common))
-    kernel.register(PlatformService(*common))
+    store = make_store(settings.platform, settings.listen.control.ip)
+    kernel.register(PlatformService(*common, store))
     kernel.register(PeerService(*common))
     kernel.register(MetricsService(kernel, counters))
     return kernel
 
 
-async def run_daemon(settings: Settings) -> None:
+async def run_daemon(settings: Settings, make_store) -> None:
     """Run a balancer until its planned stop is complete."""
     clock = Clock()
-    kernel = build_kernel(settings, clock)
+    kernel = build_kernel(settings, clock, make_store)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -117,8 +121,11 @@
     await asyncio.sleep(seconds(FAREWELL_MS))
 
 
-def main(arguments=None) -> int:
-    """Run the daemon; return its exit status."""
+def main(make_store, arguments=None) -> int:
+    """Run the daemon; return its exit status.
+
+    ``make_store(settings, local_ip)`` returns an ObjectStore.
+    """
     parser = argparse.ArgumentParser(
         prog='liftmountd', description='Run one balancer of liftmount.'
     )
@@ -138,12 +145,8 @@
         return STATUS_USAGE
     set_up_logging(settings.log.level)
     try:
-        asyncio.run(run_daemon(settings))
+        asyncio.run(run_daemon(settings, make_store))
     except OSError as error:
         LOG.error('Cannot run: %s.', error)
         return 1
     return 0
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/src/liftmount/_internal/cli/main.py
+++ b/src/liftmount/_internal/cli/main.py
@@ -36,7 +36,7 @@
     parser.add_argument(
         '--platform',
         metavar='IP:PORT',
-        help='address of the object API; several with commas',
+        help='address of the store; several with commas',
     )
     parser.add_argument(
         '--settings', metavar='FILE', help='TOML file with [platform]'
@@ -63,9 +63,14 @@
     return parser
 
 
-def main(arguments=None) -> int:
-    """Run the tool; return its exit status."""
-    options = make_parser().parse_args(arguments)
+def main(make_store, arguments=None) -> int:
+    """Run the tool; return its exit status.
+
+    ``make_store(settings, local_ip)`` returns an ObjectStore.
+    """
+    parser = make_parser()
+    parser.set_defaults(make_store=make_store)
+    options = parser.parse_args(arguments)
     try:
         return asyncio.run(load_command(options.command).run(options))
     except ConfigurationError as error:
@@ -81,7 +86,3 @@
     except (LiftmountError, OSError) as error:
         print(f'liftmount: {error}', file=sys.stderr)
         return STATUS_ERROR
-
-
-if __name__ == '__main__':
-    sys.exit(main())
--- a/src/liftmount/_internal/commands/documents.py
+++ b/src/liftmount/_internal/commands/documents.py
@@ -13,7 +13,7 @@
 import tomli_w
 
 from liftmount._internal.cli.base import Command
-from liftmount._internal.cli.base import platform_client
+from liftmount._internal.cli.base import open_store
 from liftmount._internal.cli.base import print_rows
 from liftmount._internal.cli.base import STATUS_CONFLICT
 from liftmount._internal.cli.base import STATUS_ERROR
@@ -24,12 +24,12 @@
 from liftmount._internal.commands.in_force import InForce
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.exceptions import ConflictError
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.objects import ObjectKind
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.objects import Written
 from liftmount._internal.models.problems import Problem
-from liftmount._internal.platform.client import PlatformClient
-from liftmount._internal.platform.client import write_and_resolve
+from liftmount._internal.store.interface import ObjectStore
+from liftmount._internal.store.writing import write_and_resolve
 from liftmount._internal.utils.documents import read_toml
 from liftmount._internal.utils.documents import structure
 
@@ -123,12 +123,12 @@
 
     async def run(self, options):
         """Run the action that was asked for."""
-        client = platform_client(options)
+        store = open_store(options)
         try:
             run = getattr(self, f'_{options.action}')
-            return await run(options, client)
+            return await run(options, store)
         finally:
-            await client.close()
+            store.close()
 
     def _key(self, name):
         return f'{self.kind.value}/{name}'
@@ -138,34 +138,33 @@
         raise NotImplementedError
 
     async def check_in_place(
-        self, parsed, source: str, client: PlatformClient
+        self, parsed, source: str, store: ObjectStore
     ) -> None:
         """Check a document against what is stored."""
 
-    async def _validate(self, options, client):
+    async def _validate(self, options, store):
         file = read_document(options.file)
         parsed = self.parse(file.document, file.path)
-        await self.check_in_place(parsed, file.path, client)
+        await self.check_in_place(parsed, file.path, store)
         print(f'{file.path}: valid.')
         return STATUS_OK
 
-    async def _diff(self, options, client):
+    async def _diff(self, options, store):
         file = read_document(options.file)
         parsed = self.parse(file.document, file.path)
-        stored = await client.get(self._key(parsed.name))
+        stored = await store.get(self._key(parsed.name))
         differs = show_diff(
             stored_document(stored), file.document, 'stored', file.path
         )
         return STATUS_ERROR if differs else STATUS_OK
 
-    async def _apply(self, options, client):
+    async def _apply(self, options, store):
         file = read_document(options.file)
         parsed = self.parse(file.document, file.path)
-        await self.check_in_place(parsed, file.path, client)
+        await self.check_in_place(parsed, file.path, store)
         key = self._key(parsed.name)
-        stored = await client.get(key)
-        exists = stored is not None and stored.value is not None
-        found_version = stored.version if exists else 0
+        stored = await store.get(key)
+        found_version = stored.version if stored else 0
         version = file.base_version
         if version is None:
             version = found_version
@@ -173,20 +172,20 @@
         try:
             if version != found_version:
                 raise ConflictError(key, stored)
-            written = await write_and_resolve(client, key, value, version)
+            written = await write_and_resolve(store, key, value, version)
         except ConflictError as error:
             return _show_conflict(error, file)
-        await _keep_history(client, key, stored if exists else None)
+        await _keep_history(store, key, stored)
         print(f'{key}: submitted as version {written}.')
         if options.wait_ms:
-            return await self._wait(options, client, parsed, written)
+            return await self._wait(options, store, parsed, written)
         return STATUS_OK
 
-    async def _wait(self, options, client, parsed, version):
+    async def _wait(self, options, store, parsed, version):
         clock = Clock()
         give_up_ms = clock.now_ms() + options.wait_ms
         while True:
-            state = await self.in_force(client, parsed, version)
+            state = await self.in_force(store, parsed, version)
             if state.holds:
                 print(f'version {version}: in force everywhere.')
                 return STATUS_OK
@@ -195,12 +194,12 @@
                 return STATUS_NOT_IN_FORCE
             await asyncio.sleep(seconds(WAIT_POLL_MS))
 
-    async def in_force(self, client, parsed, version: int) -> InForce:
+    async def in_force(self, store, parsed, version: int) -> InForce:
         """Tell whether a version is in force on every balancer."""
         raise NotImplementedError
 
-    async def _get(self, options, client):
-        stored = await client.get(self._key(options.name))
+    async def _get(self, options, store):
+        stored = await store.get(self._key(options.name))
         document = stored_document(stored)
         if document is None:
             print(f'there is no {self._key(options.name)}', file=sys.stderr)
@@ -212,22 +211,20 @@
             print(to_toml(shown), end='')
         return STATUS_OK
 
-    async def _list(self, options, client):
-        listing = await client.list([self.kind])
+    async def _list(self, options, store):
+        listing = await store.list(self.kind.value)
         rows = []
-        for item in sorted(listing.objects, key=lambda one: one.key):
-            if item.value is None:
-                continue
+        for item in sorted(listing.items, key=lambda one: one.key):
             written = structure(item.value, Written, item.key)
             rows.append(_row(item.name, item.version, written))
         print_rows(options, ('name', 'version', 'writer', 'wall_ms'), rows)
         return STATUS_OK
 
-    async def _history(self, options, client):
-        stored = await client.get(self._key(options.name))
-        past = await client.get(_history_key(self._key(options.name)))
-        rows = list(past.value['versions']) if past and past.value else []
-        if stored is not None and stored.value is not None:
+    async def _history(self, options, store):
+        stored = await store.get(self._key(options.name))
+        past = await store.get(_history_key(self._key(options.name)))
+        rows = list(past.value['versions']) if past else []
+        if stored is not None:
             written = structure(stored.value, Written, stored.key)
             rows.append(_row(stored.name, stored.version, written))
         print_rows(options, ('version', 'writer', 'wall_ms'), rows)
@@ -265,12 +262,12 @@
     return f'{ObjectKind.HISTORY.value}/{key.replace("/", ".")}'
 
 
-async def _keep_history(client, key, replaced):
+async def _keep_history(store, key, replaced):
     """Note the version that was replaced; losing this harms nothing."""
     if replaced is None:
         return
     history_key = _history_key(key)
-    found = await client.get(history_key)
+    found = await store.get(history_key)
     versions = list(found.value['versions']) if found else []
     written = structure(replaced.value, Written, replaced.key)
     row = _row(replaced.name, replaced.version, written)
@@ -278,6 +275,6 @@
     value = {'versions': versions[-HISTORY_LENGTH:]}
     version = found.version if found else 0
     try:
-        await write_and_resolve(client, history_key, value, version)
+        await write_and_resolve(store, history_key, value, version)
     except ConflictError:
         print('liftmount: the history has a gap.', file=sys.stderr)
--- a/src/liftmount/_internal/commands/in_force.py
+++ b/src/liftmount/_internal/commands/in_force.py
@@ -3,10 +3,9 @@
 from attrs import frozen
 
 from liftmount._internal.decisions.claims import in_force
-from liftmount._internal.models.objects import BALANCER_ROLE
-from liftmount._internal.models.objects import LIVE
-from liftmount._internal.platform.client import PlatformClient
-from liftmount._internal.platform.statuses import read_statuses
+from liftmount._internal.store.instances import live_domains
+from liftmount._internal.store.interface import ObjectStore
+from liftmount._internal.store.statuses import read_statuses
 
 
 @frozen
@@ -17,20 +16,10 @@
     why: str = ''
 
 
-async def live_domains(client: PlatformClient) -> set[str]:
-    """Return the failure domains that have live balancers."""
-    listing = await client.instances()
-    return {
-        entry.failure_domain
-        for entry in listing.instances
-        if entry.role == BALANCER_ROLE and entry.state == LIVE
-    }
-
-
-async def check_version(client: PlatformClient, version: int) -> InForce:
+async def check_version(store: ObjectStore, version: int) -> InForce:
     """Tell whether every balancer holds ``version``."""
-    statuses = await read_statuses(client)
-    domains = await live_domains(client)
+    statuses = await read_statuses(store)
+    domains = await live_domains(store)
     if not domains:
         return InForce(False, 'there is no live balancer')
     if in_force(version, statuses, domains):
--- a/src/liftmount/_internal/commands/instance.py
+++ b/src/liftmount/_internal/commands/instance.py
@@ -3,11 +3,12 @@
 from attrs import asdict
 
 from liftmount._internal.cli.base import Command
-from liftmount._internal.cli.base import platform_client
+from liftmount._internal.cli.base import open_store
 from liftmount._internal.cli.base import print_rows
 from liftmount._internal.cli.base import STATUS_OK
 from liftmount._internal.commands.target import drain
 from liftmount._internal.commands.target import restore
+from liftmount._internal.store.instances import read_instances
 
 
 class InstanceCommand(Command):
@@ -31,20 +32,19 @@
 
     async def run(self, options):
         """Run the action."""
-        client = platform_client(options)
+        store = open_store(options)
         try:
             if options.action == 'drain':
-                return await drain(client, options.instance)
+                return await drain(store, options.instance)
             if options.action == 'restore':
-                return await restore(client, options.instance)
-            listing = await client.instances()
-            rows = [asdict(one) for one in listing.instances]
+                return await restore(store, options.instance)
+            rows = [asdict(one) for one in await read_instances(store)]
             rows.sort(key=lambda row: row['name'])
             columns = ('name', 'failure_domain', 'role', 'state')
             print_rows(options, columns, rows)
             return STATUS_OK
         finally:
-            await client.close()
+            store.close()
 
 
 COMMAND = InstanceCommand()
--- a/src/liftmount/_internal/commands/status.py
+++ b/src/liftmount/_internal/commands/status.py
@@ -5,14 +5,14 @@
 from attrs import asdict
 
 from liftmount._internal.cli.base import Command
-from liftmount._internal.cli.base import platform_client
+from liftmount._internal.cli.base import open_store
 from liftmount._internal.cli.base import print_rows
 from liftmount._internal.cli.base import STATUS_NOT_IN_FORCE
 from liftmount._internal.cli.base import STATUS_OK
 from liftmount._internal.clock import seconds
-from liftmount._internal.commands.in_force import live_domains
 from liftmount._internal.models.objects import SPREAD_KINDS
-from liftmount._internal.platform.statuses import read_statuses
+from liftmount._internal.store.instances import live_domains
+from liftmount._internal.store.statuses import read_statuses
 
 WATCH_MS = 1_000
 IN_FORCE = 'in force'
@@ -49,11 +49,11 @@
 
     async def run(self, options):
         """Print the status, once or at each change."""
-        client = platform_client(options)
+        store = open_store(options)
         shown = None
         try:
             while True:
-                rows = await _rows(client)
+                rows = await _rows(store)
                 if rows != shown:
                     print_rows(options, COLUMNS, rows)
                     shown = rows
@@ -61,16 +61,19 @@
                     break
                 await asyncio.sleep(seconds(WATCH_MS))
         finally:
-            await client.close()
+            store.close()
         states = {row['state'] for row in rows} - {EMPTY}
         return STATUS_OK if states == {IN_FORCE} else STATUS_NOT_IN_FORCE
 
 
-async def _rows(client):
-    listing = await client.list(SPREAD_KINDS, with_values=False)
-    newest = max((item.version for item in listing.objects), default=0)
-    statuses = {one.failure_domain: one for one in await read_statuses(client)}
-    domains = await live_domains(client)
+async def _rows(store):
+    newest = 0
+    for kind in SPREAD_KINDS:
+        listing = await store.list(kind.value)
+        versions = [item.version for item in listing.items]
+        newest = max([newest, *versions])
+    statuses = {one.failure_domain: one for one in await read_statuses(store)}
+    domains = await live_domains(store)
     rows = []
     for name in sorted(domains | set(statuses)):
         status = statuses.get(name)
--- a/src/liftmount/_internal/commands/team.py
+++ b/src/liftmount/_internal/commands/team.py
@@ -29,10 +29,10 @@
         """Check a team on its own."""
         return parse_team(document, source)
 
-    async def check_in_place(self, parsed, source, client):
+    async def check_in_place(self, parsed, source, store):
         """Check a team against its template and the other teams."""
         key = f'{ObjectKind.TEMPLATE.value}/{parsed.template}'
-        document = stored_document(await client.get(key))
+        document = stored_document(await store.get(key))
         if document is None:
             text = 'there is no such template'
             value = repr(parsed.template)
@@ -40,23 +40,23 @@
             raise ConfigurationError([problem])
         resolve_services(parsed, parse_template(document, key), source)
         problems = []
-        for other in await _other_teams(client, parsed.name):
+        for other in await _other_teams(store, parsed.name):
             problems += _clashes(parsed, other, source)
         if problems:
             raise ConfigurationError(problems)
 
-    async def in_force(self, client, parsed, version):
+    async def in_force(self, store, parsed, version):
         """Tell whether the team and its addresses are in force."""
-        found = await check_version(client, version)
+        found = await check_version(store, version)
         if not found.holds:
             return found
-        return await _claims_in_force(client, parsed)
+        return await _claims_in_force(store, parsed)
 
 
-async def _other_teams(client, name):
-    listing = await client.list([ObjectKind.TEAM])
+async def _other_teams(store, name):
+    listing = await store.list(ObjectKind.TEAM.value)
     teams = []
-    for item in listing.objects:
+    for item in listing.items:
         document = stored_document(item)
         if document is None or item.name == name:
             continue
@@ -86,9 +86,9 @@
     return problems
 
 
-async def _claims_in_force(client, team):
-    listing = await client.list([ObjectKind.CLAIM])
-    known = {item.name: item for item in listing.objects if item.value}
+async def _claims_in_force(store, team):
+    listing = await store.list(ObjectKind.CLAIM.value)
+    known = {item.name: item for item in listing.items}
     newest = 0
     for service, address in team.addresses.items():
         item = known.get(str(address))
@@ -101,7 +101,7 @@
             text = f'{address} is not yet released by {claim.team}'
             return InForce(False, text)
         newest = max(newest, item.version)
-    return await check_version(client, newest)
+    return await check_version(store, newest)
 
 
 COMMAND = TeamCommand()
--- a/src/liftmount/_internal/commands/template.py
+++ b/src/liftmount/_internal/commands/template.py
@@ -19,9 +19,9 @@
         """Check a template on its own."""
         return parse_template(document, source)
 
-    async def in_force(self, client, parsed, version):
+    async def in_force(self, store, parsed, version):
         """Tell whether a version is in force on every balancer."""
-        return await check_version(client, version)
+        return await check_version(store, version)
 
 
 COMMAND = TemplateCommand()
--- a/src/liftmount/_internal/decisions/rollout.py
+++ b/src/liftmount/_internal/decisions/rollout.py
@@ -20,13 +20,13 @@
 from liftmount._internal.models.configuration import Service
 from liftmount._internal.models.configuration import Target
 from liftmount._internal.models.configuration import Team
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.objects import Claim
 from liftmount._internal.models.objects import ClaimState
 from liftmount._internal.models.objects import Drain
 from liftmount._internal.models.objects import FlowKeys
 from liftmount._internal.models.objects import InstanceEntry
 from liftmount._internal.models.objects import ObjectKind
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.objects import Written
 from liftmount._internal.models.problems import Problem
 from liftmount._internal.utils.documents import structure
--- a/src/liftmount/_internal/exceptions.py
+++ b/src/liftmount/_internal/exceptions.py
@@ -32,11 +32,11 @@
 
 
 class PlatformError(LiftmountError):
-    """The platform's object API did not serve a call."""
+    """The platform's store did not serve a call."""
 
 
 class PlatformUnavailableError(PlatformError):
-    """The object API could not be reached or gave no usable answer.
+    """The store could not be reached or gave no usable answer.
 
     For a write this means that it may have taken effect.
     """
--- a/src/liftmount/_internal/models/feeds.py
+++ b/src/liftmount/_internal/models/feeds.py
@@ -1,4 +1,6 @@
-"""What a feed of the store's objects tells, whatever they hold."""
+"""Objects of a store, and what lists and watches tell of them."""
+
+from attrs import frozen
 
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
@@ -10,6 +12,25 @@
 TARGETS = 'targets'
 
 
+@frozen
+class StoredObject:
+    """One version of an object; ``value`` is None once it is deleted."""
+
+    key: str
+    version: int
+    value: dict | None
+
+    @property
+    def kind(self) -> str:
+        """Return the part of the key before the slash."""
+        return self.key.partition('/')[0]
+
+    @property
+    def name(self) -> str:
+        """Return the part of the key after the slash."""
+        return self.key.partition('/')[2]
+
+
 @message
 class Listing(Message):
     """All objects of a kind as of ``revision``."""
--- a/src/liftmount/_internal/models/messages.py
+++ b/src/liftmount/_internal/models/messages.py
@@ -5,8 +5,8 @@
 
 from liftmount._internal.decisions.rollout import ConfigurationView
 from liftmount._internal.models.envelopes import PeerEnvelope
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.members import Member
-from liftmount._internal.models.objects import StoredObject
 
 
 @frozen
--- a/src/liftmount/_internal/models/objects.py
+++ b/src/liftmount/_internal/models/objects.py
@@ -34,25 +34,6 @@
 FLOW_KEY_OBJECT = 'flow-key/current'
 
 
-@frozen
-class StoredObject:
-    """One version of an object; ``value`` is None once it is deleted."""
-
-    key: str
-    version: int
-    value: dict | None
-
-    @property
-    def kind(self) -> str:
-        """Return the part of the key before the slash."""
-        return self.key.partition('/')[0]
-
-    @property
-    def name(self) -> str:
-        """Return the part of the key after the slash."""
-        return self.key.partition('/')[2]
-
-
 @frozen
 class Written:
     """A template or team as it is stored, with who wrote it.
--- a/src/liftmount/_internal/models/settings.py
+++ b/src/liftmount/_internal/models/settings.py
@@ -56,7 +56,7 @@
 
 @frozen
 class PlatformSettings:
-    """How the platform's object API is reached."""
+    """How the platform's store is reached."""
 
     addresses: list[Endpoint] = checked(
         lambda value: None if value else 'expected at least one',
--- a/src/liftmount/_internal/network/control_frames.py
+++ b/src/liftmount/_internal/network/control_frames.py
@@ -3,7 +3,7 @@
 from attrs import Factory
 from attrs import frozen
 
-from liftmount._internal.models.objects import StoredObject
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.network.frames import FrameCodec
 
 
--- a/src/liftmount/_internal/network/http.py
+++ b/src/liftmount/_internal/network/http.py
@@ -17,9 +17,14 @@
 from liftmount._internal.models.addresses import Endpoint
 
 HTTP_OK = 200
+HTTP_BAD_REQUEST = 400
 HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
 HTTP_GONE = 410
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_SERVER_ERROR = 500
 HTTP_UNAVAILABLE = 503
+USER_AGENT = 'liftmount'
 READ_BYTES = 65_536
 # A peer that a cut hides is noticed after this long; both the data that is
 # not acknowledged and an idle connection count.
@@ -102,11 +107,13 @@
     """One connection to a server, opened when needed, one call at once.
 
     After an error or a time-out it is closed: an answer that comes late
-    must not be taken for that of the next call.
+    must not be taken for that of the next call.  ``local_ip`` is the
+    address that it is made from, if that matters.
     """
 
-    def __init__(self, address: Endpoint):
+    def __init__(self, address: Endpoint, local_ip: str = ''):
         self.address = address
+        self._local_ip = local_ip
         self._reader = None
         self._writer = None
 
@@ -134,8 +141,9 @@
         """Connect unless connected; raises OSError."""
         if self._writer is not None and not self._writer.is_closing():
             return
+        local = (self._local_ip, 0) if self._local_ip else None
         self._reader, self._writer = await asyncio.open_connection(
-            self.address.ip, self.address.port
+            self.address.ip, self.address.port, local_addr=local
         )
         watch_for_dead_peer(self._writer.get_extra_info('socket'))
 
@@ -151,7 +159,11 @@
         self._writer = None
 
     async def _exchange(self, method, target, body):
-        lines = [f'{method} {target} HTTP/1.1', f'Host: {self.address}']
+        lines = [
+            f'{method} {target} HTTP/1.1',
+            f'Host: {self.address}',
+            f'User-Agent: {USER_AGENT}',
+        ]
         if body:
             lines.append('Content-Type: application/json')
             lines.append(f'Content-Length: {len(body)}')
--- a/src/liftmount/_internal/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Internal package; import from liftmount instead."""
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -1,4 +1,4 @@
-"""The platform: lease, watch, status and the lease holder's duties.
+"""The store: lease, watch, status and the lease holder's duties.
 
 Only the root of a failure domain's relay tree calls the platform, so the
 number of calls grows with failure domains and not with balancers.
@@ -18,9 +18,11 @@
 from liftmount._internal.decisions.rollout import ConfigurationView
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.exceptions import ConflictError
+from liftmount._internal.exceptions import HistoryGoneError
 from liftmount._internal.exceptions import PlatformError
 from liftmount._internal.exceptions import PlatformUnavailableError
 from liftmount._internal.kernel import Service
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.messages import AppliedChanged
 from liftmount._internal.models.messages import ConfigurationChanged
 from liftmount._internal.models.messages import Inspect
@@ -34,12 +36,12 @@
 from liftmount._internal.models.objects import LIVE
 from liftmount._internal.models.objects import ObjectKind
 from liftmount._internal.models.objects import SPREAD_KINDS
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.reasons import Reason
 from liftmount._internal.models.ticks import Tick
-from liftmount._internal.platform.client import PlatformClient
-from liftmount._internal.platform.client import write_and_resolve
-from liftmount._internal.platform.statuses import read_statuses
+from liftmount._internal.store.instances import read_instance
+from liftmount._internal.store.interface import ObjectStore
+from liftmount._internal.store.statuses import read_statuses
+from liftmount._internal.store.writing import write_and_resolve
 from liftmount._internal.utils.documents import structure
 
 LOG = logging.getLogger('liftmount.platform')
@@ -47,29 +49,28 @@
 RETRY_MS = 5_000
 WATCH_RETRY_MS = 300
 SECRET_BYTES = 32
-GONE = 'gone'
+# A watch that only asks for what is known by now.
+AT_ONCE_MS = 1
 LIST_ALL_MS = 300_000
 # Failed calls in a row before another member is to try.
 FAILURES_TO_YIELD = 2
 # Members that try again while no one reaches the platform.
 TRYING_MEMBERS = 2
-# With more new objects than this, all are read in one call.
-FETCH_ONE_BY_ONE = 16
 
 
 class PlatformService(Service):
-    """Owns the client of the object API and the lease state."""
+    """Owns the client of the store and the lease state."""
 
     name = 'platform'
 
-    def __init__(self, kernel, settings, identity, counters):
+    def __init__(
+        self, kernel, settings, identity, counters, store: ObjectStore
+    ):
         super().__init__(kernel)
         self.settings = settings
         self.identity = identity
         self.counters = counters
-        self.client = PlatformClient(
-            settings.platform, identity.name, settings.listen.control.ip
-        )
+        self.store = store
         self.lease = lease_decisions.LeaseState(
             name=identity.name,
             incarnation=identity.incarnation,
@@ -86,10 +87,10 @@
         self._is_reached = True
         self._failures = 0
         self._retry_at_ms = 0
-        self._listed_revision = -1
+        self._revisions = {}
         self._must_list = True
         self._list_all_ms = 0
-        self._instance_revision = 0
+        self._instance_revision = None
         self._next_poll_ms = 0
         self._status = None
         self._status_version = None
@@ -101,14 +102,15 @@
 
     async def stop(self):
         """Close the client."""
-        await self.client.close()
+        self.store.close()
 
     async def run(self):
         """Handle messages; as root of the domain, call the platform."""
         async with asyncio.TaskGroup() as group:
             group.create_task(super().run())
             group.create_task(self._step_forever())
-            group.create_task(self._watch_forever())
+            for kind in SPREAD_KINDS:
+                group.create_task(self._watch_forever(kind.value))
 
     def handle(self, message):
         """Handle one message of another service."""
@@ -130,7 +132,7 @@
 
     def _inspect(self):
         return {
-            'calls': self.client.calls,
+            'calls': self.store.calls,
             'is_reached': self._is_reached,
             'is_root': self._is_root(),
             'holds_lease': self.lease.is_held(self.clock.now_ms()),
@@ -205,7 +207,7 @@
     async def _step(self):
         now_ms = self.clock.now_ms()
         await self._keep_lease(now_ms)
-        if self._must_list:
+        if self._must_list or now_ms >= self._list_all_ms:
             await self._list()
         if now_ms >= self._next_poll_ms:
             self._next_poll_ms = now_ms + self.settings.platform.poll_ms
@@ -214,102 +216,109 @@
             await self._report()
             await self._do_duties()
 
-    async def _watch_forever(self):
+    async def _watch_forever(self, kind):
         while True:
             await asyncio.sleep(seconds(WATCH_RETRY_MS))
-            while self._is_root() and self._listed_revision >= 0:
-                if not self._is_reached:
-                    break
-                try:
-                    await self.client.watch(
-                        SPREAD_KINDS,
-                        self._listed_revision,
-                        self.settings.platform.watch_ms,
-                    )
-                except PlatformError:
+            while self._is_root() and self._is_reached:
+                if kind not in self._revisions:
                     break
-                # A watch may skip changes, so it only says when to look.
                 try:
-                    await self._list()
+                    await self._watch(kind)
+                except HistoryGoneError:
+                    LOG.info('The store forgot its history of %s.', kind)
+                    del self._revisions[kind]
+                    self._must_list = True
                 except PlatformError as error:
-                    self._note_failure(error)
+                    # The next step finds out whether others fail too.
+                    LOG.info('A watch of %s ended: %s.', kind, error)
                     break
 
+    async def _watch(self, kind):
+        delta = await self.store.watch(
+            kind, self._revisions[kind], self.settings.platform.watch_ms
+        )
+        arrived = [
+            *delta.written,
+            *(
+                StoredObject(f'{kind}/{name}', delta.revision, None)
+                for name in delta.removed
+            ),
+        ]
+        self._take(arrived, delta.revision, kind)
+
     # Reading.
 
     async def _list(self):
-        """Fetch versions, then the objects that are new here.
+        """Read all objects; what is missing from a list is deleted."""
+        self._list_all_ms = self.clock.now_ms() + LIST_ALL_MS
+        for kind in SPREAD_KINDS:
+            listing = await self.store.list(kind.value)
+            deleted = self._deleted(kind.value, listing)
+            self._take(
+                [*listing.items, *deleted], listing.revision, kind.value
+            )
+        self._must_list = False
 
-        Only what changed since the last time is listed, but now and then
-        everything, as a safeguard.
-        """
-        now_ms = self.clock.now_ms()
-        since = max(0, self._listed_revision)
-        if now_ms >= self._list_all_ms:
-            self._list_all_ms = now_ms + LIST_ALL_MS
-            since = 0
-        listing = await self.client.list(
-            SPREAD_KINDS, with_values=False, since=since
-        )
-        known = self.kernel.lookup('configuration').store.versions()
+    def _take(self, objects, revision, kind):
+        """Hand on what is newer than what is known."""
+        self._revisions[kind] = max(revision, self._revisions.get(kind, 0))
+        known = self._store().versions()
         newer = [
-            item
-            for item in listing.objects
-            if item.version > known.get(item.key, 0)
+            item for item in objects if item.version > known.get(item.key, 0)
         ]
-        fetched = await self._fetch(newer)
-        self._listed_revision = listing.revision
-        self._must_list = False
-        if fetched:
-            arrived = ObjectsArrived(fetched, 'the platform')
+        if newer:
+            arrived = ObjectsArrived(newer, 'the platform')
             self.kernel.post('configuration', arrived)
 
-    async def _fetch(self, newer):
-        if len(newer) > FETCH_ONE_BY_ONE:
-            listing = await self.client.list(SPREAD_KINDS)
-            wanted = {item.key for item in newer}
-            return [one for one in listing.objects if one.key in wanted]
-        fetched = []
-        for item in newer:
-            found = await self.client.get(item.key)
-            fetched.append(found if found is not None else item)
-        return fetched
+    def _deleted(self, kind, listing):
+        """Return deletions of what a whole list no longer has.
 
-    async def _read_instances(self):
-        listing = await self.client.instances(self._instance_revision)
-        if listing.revision < self._instance_revision:
-            # The platform counts anew; so must this balancer.
-            self._instance_revision = 0
-            return
-        changed = []
-        if self._instance_revision == 0:
-            changed = self._forget_unlisted(listing)
-        for entry in listing.instances:
-            key = f'{ObjectKind.INSTANCE.value}/{entry.name}'
-            value = asdict(entry)
-            if entry.state == GONE:
-                value = None
-                self._instances.pop(entry.name, None)
-            else:
-                self._instances[entry.name] = entry
-            changed.append(StoredObject(key, listing.revision, value))
-        self._instance_revision = listing.revision
-        if changed:
-            arrived = ObjectsArrived(changed, 'the instance list')
-            self.kernel.post('configuration', arrived)
-
-    def _forget_unlisted(self, listing):
-        """Return deletions of what a whole list no longer has."""
-        listed = {entry.name for entry in listing.instances}
-        self._instances.clear()
+        What is newer than the list was written since.
+        """
+        listed = {item.key for item in listing.items}
         return [
             StoredObject(item.key, listing.revision, None)
             for item in self._store().objects.values()
-            if item.kind == ObjectKind.INSTANCE.value
+            if item.kind == kind
             and item.value is not None
-            and item.name not in listed
+            and item.key not in listed
+            and item.version < listing.revision
         ]
 
+    async def _read_instances(self):
+        kind = ObjectKind.INSTANCE.value
+        if self._instance_revision is None:
+            news = await self.store.list(kind)
+            written = news.items
+            deleted = self._deleted(kind, news)
+            self._instances.clear()
+        else:
+            try:
+                news = await self.store.watch(
+                    kind, self._instance_revision, AT_ONCE_MS
+                )
+            except HistoryGoneError:
+                self._instance_revision = None
+                return
+            written = news.written
+            deleted = [
+                StoredObject(f'{kind}/{name}', news.revision, None)
+                for name in news.removed
+            ]
+        changed = [self._take_instance(item) for item in written]
+        for item in deleted:
+            self._instances.pop(item.name, None)
+        changed += deleted
+        self._instance_revision = news.revision
+        if changed:
+            arrived = ObjectsArrived(changed, 'the instance list')
+            self.kernel.post('configuration', arrived)
+
+    def _take_instance(self, item):
+        entry = read_instance(item)
+        self._instances[entry.name] = entry
+        return StoredObject(item.key, item.version, asdict(entry))
+
     # The lease.
 
     async def _keep_lease(self, now_ms):
@@ -323,7 +332,7 @@
         key = f'{ObjectKind.LEASE.value}/{self.identity.failure_domain}'
         match step:
             case lease_decisions.ReadLease():
-                found = await self.client.get(key)
+                found = await self.store.get(key)
                 event = self._lease_read(found, asked_ms)
                 further = lease_decisions.decide(
                     self.lease, event, self._is_root()
@@ -349,7 +358,7 @@
         was_held = self.lease.is_held(asked_ms)
         try:
             version = await write_and_resolve(
-                self.client, key, asdict(step.value), step.expected_version
+                self.store, key, asdict(step.value), step.expected_version
             )
         except PlatformError:
             failed = lease_decisions.LeaseWriteFailed()
@@ -372,14 +381,14 @@
             return
         key = f'{ObjectKind.STATUS.value}/{self.identity.failure_domain}'
         if self._status_version is None:
-            found = await self.client.get(key)
+            found = await self.store.get(key)
             self._status_version = found.version if found else 0
             if found and found.value is not None:
                 self._check_epoch(found.value)
         version = self._status_version
         self._status_version = None
         self._status_version = await write_and_resolve(
-            self.client, key, asdict(status), version
+            self.store, key, asdict(status), version
         )
         self._status = status
 
@@ -465,7 +474,7 @@
     async def _rotate_key(self):
         found = self._store().objects.get(FLOW_KEY_OBJECT)
         version = found.version if found else 0
-        statuses = await read_statuses(self.client) if found else []
+        statuses = await read_statuses(self.store) if found else []
         times = key_decisions.RotationTimes(
             self.settings.lease.key_rotation_ms,
             self.settings.lease.key_overlap_ms,
@@ -487,7 +496,7 @@
 
     async def _write_object(self, key, value, version):
         """Write an object of the system's own, and take it over."""
-        written = await write_and_resolve(self.client, key, value, version)
+        written = await write_and_resolve(self.store, key, value, version)
         item = StoredObject(key, written, value)
         arrived = ObjectsArrived([item], 'this balancer')
         self.kernel.post('configuration', arrived)
@@ -516,7 +525,7 @@
         }
 
     async def _write_claims(self):
-        statuses = await read_statuses(self.client)
+        statuses = await read_statuses(self.store)
         steps = claim_decisions.decide(
             self.view, self._claims(), statuses, self._domains()
         )
--- /dev/null
+++ b/src/liftmount/_internal/store/instances.py
@@ -0,0 +1,34 @@
+"""Reads the instance list: objects that say which instances live.
+
+Whoever starts and stops instances keeps the list; it lags.
+"""
+
+from liftmount._internal.models.feeds import StoredObject
+from liftmount._internal.models.objects import BALANCER_ROLE
+from liftmount._internal.models.objects import InstanceEntry
+from liftmount._internal.models.objects import LIVE
+from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.store.interface import ObjectStore
+from liftmount._internal.utils.documents import structure
+
+
+def read_instance(item: StoredObject) -> InstanceEntry:
+    """Read an entry of the list; raises ConfigurationError."""
+    return structure(
+        {'name': item.name, **item.value}, InstanceEntry, item.key
+    )
+
+
+async def read_instances(store: ObjectStore) -> list[InstanceEntry]:
+    """Return all entries of the list."""
+    listing = await store.list(ObjectKind.INSTANCE.value)
+    return [read_instance(item) for item in listing.items]
+
+
+async def live_domains(store: ObjectStore) -> set[str]:
+    """Return the failure domains that have live balancers."""
+    return {
+        entry.failure_domain
+        for entry in await read_instances(store)
+        if entry.role == BALANCER_ROLE and entry.state == LIVE
+    }
--- a/src/liftmount/configuration.py
+++ b/src/liftmount/configuration.py
@@ -14,9 +14,9 @@
 from liftmount._internal.models.configuration import Target
 from liftmount._internal.models.configuration import Team
 from liftmount._internal.models.configuration import Template
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.objects import Claim
 from liftmount._internal.models.objects import DomainStatus
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.problems import Problem
 
 __all__ = (
--- a/src/liftmount/platform/daemon.py
+++ b/src/liftmount/platform/daemon.py
@@ -10,8 +10,8 @@
 from liftmount._internal.services.entry import Adapter
 from liftmount._internal.services.entry import EntryBalancer
 from liftmount.platform import heads
+from liftmount.platform.feeds import make_feeds
 from liftmount.platform.settings import load_settings
-from liftmount.platform.store import make_feeds
 
 READY_PATH = '/ready'
 STATUS_USAGE = 2
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -1,145 +1,232 @@
-"""Client of the platform's store: lists in pages, and watches."""
+"""Client of the platform's store: lists in pages, watches, writes."""
 
 import json
+from urllib.parse import quote
+from urllib.parse import unquote
 
-from attrs import frozen
-
+from liftmount._internal.exceptions import ConflictError
 from liftmount._internal.exceptions import HistoryGoneError
 from liftmount._internal.exceptions import HttpError
 from liftmount._internal.exceptions import PlatformError
 from liftmount._internal.exceptions import PlatformUnavailableError
-from liftmount._internal.exceptions import StoredObjectError
-from liftmount._internal.models.addresses import Endpoint
-from liftmount._internal.models.entry_settings import EntrySettings
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
-from liftmount._internal.models.feeds import ROUTES
-from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.feeds import StoredObject
+from liftmount._internal.network.http import HTTP_BAD_REQUEST
+from liftmount._internal.network.http import HTTP_CONFLICT
 from liftmount._internal.network.http import HTTP_GONE
-from liftmount._internal.network.http import HTTP_OK
+from liftmount._internal.network.http import HTTP_NOT_FOUND
+from liftmount._internal.network.http import HTTP_SERVER_ERROR
+from liftmount._internal.network.http import HTTP_TOO_MANY_REQUESTS
 from liftmount._internal.network.http import HttpConnection
-from liftmount.platform.objects import CONFIGURATION_KIND
-from liftmount.platform.objects import read_routes
-from liftmount.platform.objects import read_target
-from liftmount.platform.objects import TARGET_KIND
+
+# Limit of one call; the store answers in 4 ms, in 400 ms when it is slow.
+TIMEOUT_MS = 2_000
+# How much later than its wait the answer of a watch may come.
+WATCH_MARGIN_MS = 2_000
 
 
-@frozen
-class StoredObject:
-    """One object as the store holds it, ``spec`` not yet read."""
+class PlatformStore:
+    """The store, at the first of its addresses that answers.
 
-    name: str
-    spec: object
-    is_gone: bool = False
+    It offers what ``_internal.store.interface.ObjectStore`` asks for.
+    ``count`` hears of each call; calls go over a connection each, which
+    is kept for the next one.
+    """
 
+    def __init__(
+        self,
+        addresses,
+        timeout_ms: float = TIMEOUT_MS,
+        count=None,
+        local_ip: str = '',
+    ):
+        self._addresses = list(addresses)
+        self._timeout_ms = timeout_ms
+        self._count = count
+        self._local_ip = local_ip
+        self._idle = []
+        self._in_use = set()
+        self.calls = 0
 
-class StoreFeed:
-    """Follows the objects of one kind over a connection of its own.
+    def set_addresses(self, addresses) -> None:
+        """Call other addresses from the next call on."""
+        self._addresses = list(addresses)
+        self.close()
 
-    ``read(name, spec)`` turns an object into a type of the project and
-    raises StoredObjectError; ``report(error)`` hears of what it refused.
-    """
+    def close(self) -> None:
+        """Drop all connections, those of calls under way too."""
+        for connection in [*self._idle, *self._in_use]:
+            connection.close()
+        self._idle.clear()
+
+    # Reading.
 
-    def __init__(self, address: Endpoint, kind: str, read, report, metrics):
-        self._connection = HttpConnection(address)
-        self._kind = kind
-        self._read = read
-        self._report = report
-        self._metrics = metrics
+    async def get(self, key: str) -> StoredObject | None:
+        """Return an object, or None when there is none."""
+        document = await self._call('GET', _path(key))
+        return None if document is None else _stored(_kind(key), document)
 
-    async def fetch(self, may_lag: bool, timeout_ms: float) -> Listing:
-        """Return all objects of the kind; raises PlatformError."""
+    async def list(
+        self,
+        kind: str,
+        may_lag: bool = False,
+        timeout_ms: float | None = None,
+    ) -> Listing:
+        """Return all StoredObjects of a kind; each page may take so long."""
         items = []
         after = ''
         while True:
-            query = f'?after={after}' if after else '?'
+            query = {'after': quote(after, safe='')} if after else {}
             if may_lag:
-                query += '&allow_stale=1'
-            page = await self._call(query, timeout_ms)
-            stored, listing = self.read_list(page)
+                query['allow_stale'] = '1'
+            page = await self._read(_path(kind, query), timeout_ms)
+            listing = read_list(kind, page)
             items += listing.items
-            if not page.get('more_pages') or not stored:
+            if not page.get('more_pages') or not listing.items:
                 return Listing(tuple(items), listing.revision)
-            after = stored[-1].name
-
-    def read_list(self, page: dict) -> tuple[list[StoredObject], Listing]:
-        """Read one page of a list; raises PlatformError."""
-        stored = [_stored(one) for one in _list(page, 'items')]
-        return stored, Listing(tuple(self._decode(stored)), _revision(page))
+            after = items[-1].name
 
     async def watch(
-        self, revision: int, wait_ms: int, timeout_ms: float
+        self,
+        kind: str,
+        revision: int,
+        wait_ms: int,
+        timeout_ms: float | None = None,
     ) -> Delta:
-        """Return what changed since a revision, maybe nothing.
+        """Return what changed in a kind since a revision, maybe nothing."""
+        query = {'watch': revision, 'wait_ms': wait_ms}
+        limit_ms = timeout_ms or wait_ms + WATCH_MARGIN_MS
+        page = await self._read(_path(kind, query), limit_ms)
+        return read_changes(kind, page, revision)
+
+    async def _read(self, path, timeout_ms):
+        page = await self._call('GET', path, timeout_ms)
+        if page is None:
+            raise PlatformError(f'{path}: not found')
+        return page
 
-        Raises HistoryGoneError when the store forgot what lies between.
-        """
-        query = f'?watch={revision}&wait_ms={wait_ms}'
-        page = await self._call(query, timeout_ms)
-        return self.read_changes(page, revision)
+    # Writing.
 
-    def read_changes(self, page: dict, base: int = 0) -> Delta:
-        """Read the answer of a watch; raises PlatformError."""
-        events = [_event(one) for one in _list(page, 'events')]
-        # Only the last state of each object matters.
-        latest = {one.name: one for one in events}
-        written = [one for one in latest.values() if not one.is_gone]
-        removed = [one.name for one in latest.values() if one.is_gone]
-        return Delta(
-            tuple(self._decode(written)),
-            tuple(removed),
-            _revision(page),
-            base,
-        )
-
-    def set_address(self, address: Endpoint) -> None:
-        """Call another address from the next call on."""
-        self._connection.address = address
-        self._connection.close()
+    async def put(self, key: str, value: dict, expected_version: int) -> int:
+        """Write an object, conditionally; return its new version."""
+        if expected_version == 0:
+            name = key.partition('/')[2]
+            document = {'meta': {'name': name}, 'spec': value}
+            answer = await self._call('POST', _path(_kind(key)), body=document)
+        else:
+            meta = {'revision': expected_version}
+            document = {'meta': meta, 'spec': value}
+            answer = await self._call('PUT', _path(key), body=document)
+        if answer is None:
+            # It was there when its version was read.
+            raise ConflictError(key, None)
+        return _stored(_kind(key), answer).version
 
-    def close(self) -> None:
-        """Drop the connection."""
-        self._connection.close()
+    async def delete(self, key: str, expected_version: int) -> None:
+        """Delete an object if its version is ``expected_version``."""
+        query = {'revision': expected_version}
+        if await self._call('DELETE', _path(key, query)) is None:
+            raise ConflictError(key, None)
 
-    async def _call(self, query, timeout_ms):
-        path = f'/objects/{self._kind}{query}'.rstrip('?').replace('?&', '?')
-        self._metrics.count(f'store_calls.{self._kind}')
-        try:
-            answer = await self._connection.request('GET', path, timeout_ms)
-        except HttpError as error:
-            raise PlatformUnavailableError(str(error)) from error
-        if answer.status == HTTP_GONE:
-            raise HistoryGoneError(f'{path}: status {answer.status}')
-        if answer.status != HTTP_OK:
-            raise PlatformUnavailableError(f'{path}: status {answer.status}')
-        try:
-            page = json.loads(answer.body)
-        except ValueError as error:
-            raise PlatformError(f'{path}: not JSON: {error}') from error
-        if type(page) is not dict:
-            raise PlatformError(f'{path}: expected fields')
-        return page
+    # Calls.
 
-    def _decode(self, stored):
-        decoded = []
-        for one in stored:
+    async def _call(self, method, path, timeout_ms=None, body=None):
+        """Return the answer's document, None if there is no such object."""
+        failure = None
+        for address in list(self._addresses):
+            self.calls += 1
+            if self._count is not None:
+                self._count()
             try:
-                decoded.append(self._read(one.name, one.spec))
-            except StoredObjectError as error:
-                self._report(error)
-        return decoded
+                answer = await self._exchange(
+                    address, method, path, timeout_ms, body
+                )
+            except HttpError as error:
+                failure = error
+                self._addresses.append(self._addresses.pop(0))
+                if method != 'GET':
+                    # It may have taken effect; whoever asked reads back.
+                    break
+                continue
+            return _checked(method, path, answer)
+        raise PlatformUnavailableError(str(failure)) from failure
+
+    async def _exchange(self, address, method, path, timeout_ms, body):
+        connection = self._idle.pop() if self._idle else None
+        if connection is None or connection.address != address:
+            if connection is not None:
+                connection.close()
+            connection = HttpConnection(address, self._local_ip)
+        self._in_use.add(connection)
+        data = b'' if body is None else json.dumps(body).encode()
+        limit_ms = timeout_ms or self._timeout_ms
+        try:
+            return await connection.request(method, path, limit_ms, data)
+        finally:
+            self._in_use.discard(connection)
+            self._idle.append(connection)
 
 
-def make_feeds(settings: EntrySettings, report, metrics) -> dict:
-    """Return the feeds of routes and targets by name."""
-    return {
-        ROUTES: StoreFeed(
-            settings.store, CONFIGURATION_KIND, read_routes, report, metrics
-        ),
-        TARGETS: StoreFeed(
-            settings.store, TARGET_KIND, read_target, report, metrics
-        ),
-    }
+def _kind(key):
+    return key.partition('/')[0]
+
+
+def _path(key, query=None):
+    """Return the path of a kind, or of an object by its key."""
+    kind, slash, name = key.partition('/')
+    text = '&'.join(f'{one}={value}' for one, value in (query or {}).items())
+    path = f'/objects/{kind}{slash}{quote(name, safe="")}'
+    return f'{path}?{text}' if text else path
+
+
+def _checked(method, path, answer):
+    status = answer.status
+    if status == HTTP_NOT_FOUND:
+        return None
+    if status == HTTP_GONE:
+        raise HistoryGoneError(f'{path}: status {status}')
+    if status == HTTP_TOO_MANY_REQUESTS or status >= HTTP_SERVER_ERROR:
+        raise PlatformUnavailableError(f'{method} {path}: status {status}')
+    document = _document(path, answer)
+    if status == HTTP_CONFLICT:
+        kind, _slash, name = path.removeprefix('/objects/').partition('/')
+        current = _stored(kind, document)
+        key = f'{kind}/{unquote(name.partition("?")[0])}'
+        raise ConflictError(key, current)
+    if status >= HTTP_BAD_REQUEST:
+        raise PlatformError(f'{method} {path}: status {status}')
+    return document
+
+
+def _document(path, answer):
+    try:
+        document = json.loads(answer.body)
+    except ValueError as error:
+        raise PlatformError(f'{path}: not JSON: {error}') from error
+    if type(document) is not dict:
+        raise PlatformError(f'{path}: expected fields')
+    return document
+
+
+def read_list(kind: str, page: dict) -> Listing:
+    """Read one page of a list; raises PlatformError."""
+    items = tuple(_stored(kind, one) for one in _list(page, 'items'))
+    return Listing(items, _revision(page))
+
+
+def read_changes(kind: str, page: dict, base: int) -> Delta:
+    """Read the answer of a watch; raises PlatformError."""
+    latest = {}
+    for event in _list(page, 'events'):
+        if type(event) is not dict:
+            raise PlatformError('an event without fields')
+        stored = _stored(kind, event.get('object'))
+        # Only the last state of each object matters.
+        latest[stored.name] = None if event.get('tombstone') else stored
+    written = tuple(one for one in latest.values() if one is not None)
+    removed = tuple(name for name, one in latest.items() if one is None)
+    return Delta(written, removed, _revision(page), base)
 
 
 def _list(page, field):
@@ -157,20 +244,14 @@
     return value
 
 
-def _stored(document):
+def _stored(kind, document):
     try:
         name = document['meta']['name']
-    except (KeyError, TypeError) as error:
+        version = document['meta'].get('revision', 0)
+    except (AttributeError, KeyError, TypeError) as error:
         raise PlatformError(f'an object without a name: {error!r}') from error
     if type(name) is not str:
         raise PlatformError(f'name = {name!r}: expected a text')
-    return StoredObject(name, document.get('spec'))
-
-
-def _event(document):
-    if type(document) is not dict:
-        raise PlatformError('an event without fields')
-    stored = _stored(document.get('object'))
-    return StoredObject(
-        stored.name, stored.spec, bool(document.get('tombstone'))
-    )
+    if type(version) is not int:
+        raise PlatformError(f'{name}: revision = {version!r}')
+    return StoredObject(f'{kind}/{name}', version, document.get('spec'))
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from urllib.parse import quote
 from urllib.request import build_opener
 from urllib.request import ProxyHandler
 from urllib.request import Request
@@ -14,6 +15,7 @@
 from attrs import asdict
 import tomli_w
 
+from liftmount._internal.models.feeds import StoredObject
 from stand_ins import addresses as nets
 from stand_ins import history
 from stand_ins.records import read_records
@@ -25,6 +27,8 @@
 FABRIC_PORT = 1
 PEER_PORT = 2
 CONTROL_PORT = 3
+# The module that runs liftmountd and liftmount.
+PROGRAMS = 'liftmount.platform.programs'
 _OPENER = build_opener(ProxyHandler({}))
 
 
@@ -42,6 +46,32 @@
     return json.loads(body) if body.startswith(('{', '[')) else body
 
 
+def list_stored(address: str, kind: str) -> list[StoredObject]:
+    """Return the objects of a kind in the store at an address."""
+    items = call(address, f'/objects/{kind}')['items']
+    return [_stored(kind, one) for one in items]
+
+
+def get_stored(address: str, key: str) -> StoredObject:
+    """Return an object of the store at an address."""
+    kind, _slash, name = key.partition('/')
+    path = f'/objects/{kind}/{quote(name, safe="")}'
+    return _stored(kind, call(address, path))
+
+
+def _stored(kind, document):
+    meta = document['meta']
+    key = f'{kind}/{meta["name"]}'
+    return StoredObject(key, meta['revision'], document['spec'])
+
+
+def put_stored(address: str, stored: StoredObject) -> None:
+    """Write an object past the product, if its version still holds."""
+    path = f'/objects/{stored.kind}/{quote(stored.name, safe="")}'
+    meta = {'revision': stored.version}
+    call(address, path, {'meta': meta, 'spec': stored.value}, 'PUT')
+
+
 def wait_for(condition, what: str, limit_s: float = READY_SECONDS):
     """Wait until ``condition()`` is true; return its value."""
     end = time.monotonic() + limit_s
@@ -175,7 +205,7 @@
     def start_outside(self):
         """Start platform, fabric, links and targets."""
         listen = ['--listen', self.platform]
-        self.spawn('platform', ['-m', 'stand_ins.platform', *listen])
+        self.spawn('platform', ['-m', 'stand_ins.store', *listen])
         if self.linked:
             self._start_links()
         options = ['--control', self.fabric_control]
@@ -237,8 +267,7 @@
         path = self.directory / f'{name}.toml'
         path.write_text(tomli_w.dumps(self.make_settings(name)))
         options = ['--settings', str(path)]
-        module = 'liftmount._internal.cli.daemon'
-        self.spawn(name, ['-m', module, *options], wait_ready)
+        self.spawn(name, ['-m', PROGRAMS, 'daemon', *options], wait_ready)
         self.list_instance(name, 'live')
 
     def list_instance(self, name: str, state: str | None):
@@ -307,7 +336,7 @@
 
     def tool(self, *arguments, check=True):
         """Run the command-line tool."""
-        command = [sys.executable, '-m', 'liftmount._internal.cli.main']
+        command = [sys.executable, '-m', PROGRAMS, 'tool']
         command += ['--platform', self.platform, *arguments]
         done = subprocess.run(
             command, capture_output=True, text=True, timeout=60
@@ -348,11 +377,10 @@
             )
 
     def _is_granted(self, team):
-        found = call(self.platform, '/objects?kinds=claim')['objects']
         held = {
-            one['key'].partition('/')[2]
-            for one in found
-            if one['value'] and one['value']['state'] == 'held'
+            one.name
+            for one in list_stored(self.platform, 'claim')
+            if one.value['state'] == 'held'
         }
         return all(
             self.service_address(team, service.name) in held
--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -2,21 +2,31 @@
 
 Objects by kind and name, one counter of revisions, lists, watches that
 wait, conditional writes, finalizers, and the ways in which the store
-fails.  Runs in a thread of the test's own process.
+fails.  Runs in a thread of the test's own process, or as a process.
+
+Tests change its faults by ``POST /faults``, and the instance list, which
+lags, by ``PUT|DELETE /instances/NAME``; ``GET /calls`` counts the calls of
+each address.  Only calls of the product are counted and suffer.
 """
 
+import argparse
 import asyncio
 from collections import Counter
 import json
+import sys
 import threading
 
 from aiohttp import web
 from attrs import define
 from attrs import Factory
 
+from liftmount._internal.network.http import HTTP_CONFLICT
+from liftmount._internal.network.http import HTTP_GONE
+from liftmount._internal.network.http import USER_AGENT
+
 PAGE_ITEMS = 500
-HTTP_CONFLICT = 409
-HTTP_GONE = 410
+MAX_VALUE_BYTES = 1_048_576
+INSTANCE_KIND = 'instance'
 # What each kind of trouble answers; None is no answer at all.
 TROUBLES = {'answers 503': 503, 'answers 429': 429, 'says nothing': None}
 SLOW_S = 0.4
@@ -52,6 +62,23 @@
         }
 
 
+@define
+class Faults:
+    """What goes wrong at present, beside the store's trouble.
+
+    ``lose_answers`` counts writes whose answer is lost after the write
+    took effect.  ``blocked`` lists client IPs that are cut off.  With
+    ``forgets`` each change is forgotten as soon as it is made.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    forgets: bool = False
+    instance_lag_ms: int = 500
+    blocked: list = Factory(list)
+
+
 class Store:
     """The store, its history, and who called it for what."""
 
@@ -61,13 +88,17 @@
         self.revision = 0
         self.first_kept = 0
         self.trouble = ''
+        self.faults = Faults()
         self.calls = Counter()
         self.watching = Counter()
         self._changed = asyncio.Condition()
+        self._tasks = set()
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application(middlewares=[self._fail])
+        app = web.Application(
+            middlewares=[self._fail], client_max_size=2 * MAX_VALUE_BYTES
+        )
         app.add_routes(
             [
                 web.get('/objects/{kind}', self.list_kind),
@@ -76,16 +107,30 @@
                 web.put('/objects/{kind}/{name}', self.replace),
                 web.put('/objects/{kind}/{name}/status', self.set_status),
                 web.delete('/objects/{kind}/{name}', self.delete),
+                web.put('/instances/{name:.+}', self.put_instance),
+                web.delete('/instances/{name:.+}', self.delete_instance),
+                web.post('/faults', self.set_faults),
+                web.get('/calls', self.get_calls),
             ]
         )
         return app
 
     @web.middleware
     async def _fail(self, request, handler):
+        if request.headers.get('User-Agent') != USER_AGENT:
+            return await handler(request)
         self.calls[request.remote] += 1
-        if self.trouble == 'resets connections':
+        is_cut = self.faults.down or request.remote in self.faults.blocked
+        if is_cut or self.trouble == 'resets connections':
             request.transport.abort()
-        elif self.trouble == 'sends broken documents':
+            raise ConnectionResetError
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1_000)
+        return await self._trouble(request, handler)
+
+    async def _trouble(self, request, handler):
+        """Answer as the trouble has it."""
+        if self.trouble == 'sends broken documents':
             return web.Response(body=BROKEN)
         elif self.trouble in TROUBLES:
             status = TROUBLES[self.trouble]
@@ -97,6 +142,11 @@
         answer = await handler(request)
         if self.trouble == 'loses answers':
             await asyncio.sleep(LOST_S)
+        is_write = request.method != 'GET'
+        if is_write and answer.status < 400 and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            request.transport.abort()
+            raise ConnectionResetError
         return answer
 
     # Changes.
@@ -121,6 +171,8 @@
             self.revision += 1
             event = {'object': stored.document(), 'tombstone': is_gone}
             self.history.append((self.revision, stored.kind, event))
+            if self.faults.forgets:
+                self.forget()
             self._changed.notify_all()
 
     def forget(self) -> None:
@@ -157,7 +209,11 @@
         self.watching[request.remote] += 1
         try:
             async with asyncio.timeout(wait_s), self._changed:
-                await self._changed.wait_for(lambda: self._events(kind, since))
+                await self._changed.wait_for(
+                    lambda: (
+                        since < self.first_kept or self._events(kind, since)
+                    )
+                )
         except TimeoutError:
             pass
         finally:
@@ -246,6 +302,48 @@
             await self.remove(stored.kind, stored.name)
         return web.json_response(stored.document())
 
+    # What tests ask for.
+
+    async def put_instance(self, request):
+        """Note an instance; the list shows it after a while."""
+        entry = await request.json()
+        self._later(
+            lambda name: self.write(INSTANCE_KIND, name, entry), request
+        )
+        return web.json_response({})
+
+    async def delete_instance(self, request):
+        """Remove an instance; the list shows it for a while longer."""
+        self._later(self._forget_instance, request)
+        return web.json_response({})
+
+    async def _forget_instance(self, name):
+        if (INSTANCE_KIND, name) in self.objects:
+            await self.remove(INSTANCE_KIND, name)
+
+    def _later(self, change, request):
+        name = request.match_info['name']
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.faults.instance_lag_ms / 1_000,
+            lambda: self._spawn(change(name)),
+        )
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def set_faults(self, request):
+        """Change what goes wrong."""
+        for key, value in (await request.json()).items():
+            setattr(self.faults, key, value)
+        return web.json_response({})
+
+    async def get_calls(self, _request):
+        """Answer with the number of calls of each address."""
+        return web.json_response(dict(self.calls))
+
     @staticmethod
     def _conflict(stored):
         return web.json_response(stored.document(), status=HTTP_CONFLICT)
@@ -290,3 +388,28 @@
         """End the thread."""
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
+
+
+async def serve(ip: str, port: int) -> None:
+    """Serve until cancelled."""
+    runner = web.AppRunner(Store().application(), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, ip, port).start()
+    print(json.dumps({'ready': 'platform'}), flush=True)
+    await asyncio.Event().wait()
+
+
+def main():
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--listen', required=True, metavar='IP:PORT')
+    options = parser.parse_args()
+    ip, _separator, port = options.listen.rpartition(':')
+    try:
+        asyncio.run(serve(ip, int(port)))
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/features/promises/configuration.feature
+++ b/tests/features/promises/configuration.feature
@@ -12,7 +12,7 @@
       | fault                                 |
       | the platform answers late             |
       | the platform loses two answers        |
-      | watches skip changes                  |
+      | the platform forgets each change      |
       | domain a cannot reach the platform    |
       | a balancer starts anew                |
 
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -242,27 +242,38 @@
 )
 
 
+# Pages that are nearly right get further than any document does.
+OBJECTS = JSON | strategies.fixed_dictionaries(
+    {'meta': JSON | strategies.fixed_dictionaries({'name': JSON})},
+    optional={'spec': JSON},
+)
+PAGES = JSON | strategies.fixed_dictionaries(
+    {'current_rev': strategies.integers() | JSON},
+    optional={
+        'items': strategies.lists(OBJECTS, max_size=3) | JSON,
+        'events': strategies.lists(
+            JSON | strategies.fixed_dictionaries({'object': OBJECTS}),
+            max_size=3,
+        ),
+    },
+)
+
+
 @when('{count:d} random documents are read as entries, routes and answers')
 def random_documents(context, count):
     context.seen = []
-    feed = store.StoreFeed(
-        Endpoint('127.0.0.1', 1),
-        objects.TARGET_KIND,
-        objects.read_target,
-        context.seen.append,
-        None,
-    )
 
     @hypothesis_settings(
         max_examples=count, deadline=None, derandomize=True, database=None
     )
-    @given_values(JSON)
-    def check(document):
+    @given_values(JSON, PAGES)
+    def check(document, page):
         for read in (objects.read_target, objects.read_routes):
             context.seen.append(read_or_error(read, 'i-1', document))
-        page = document if type(document) is dict else {}
-        for read in (feed.read_list, feed.read_changes):
-            context.seen.append(read_or_error(read, page))
+        page = page if type(page) is dict else {}
+        kind = objects.TARGET_KIND
+        context.seen.append(read_or_error(store.read_list, kind, page))
+        context.seen.append(read_or_error(store.read_changes, kind, page, 0))
 
     check()
 
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -8,8 +8,11 @@
 from behave import then
 from behave import when
 
+from liftmount._internal.models.objects import FLOW_KEY_OBJECT
 from stand_ins.deployment import call
 from stand_ins.deployment import Deployment
+from stand_ins.deployment import get_stored
+from stand_ins.deployment import put_stored
 from stand_ins.deployment import wait_for
 from stand_ins.plans import ALL_PLANS
 
@@ -131,7 +134,7 @@
 
 
 def lease_of(deployment, domain):
-    return call(deployment.platform, f'/objects/lease/{domain}')['value']
+    return get_stored(deployment.platform, f'lease/{domain}').value
 
 
 @when('a balancer joins while the platform is down')
@@ -290,25 +293,17 @@
 @when('flow keys are rotated')
 def keys_rotated(context):
     deployment = context.deployment
-    found = call(deployment.platform, '/objects/flow-key/current')
-    value = found['value']
-    newest = value['keys'][-1]
+    found = get_stored(deployment.platform, FLOW_KEY_OBJECT)
+    newest = found.value['keys'][-1]
     added = {**newest, 'id': newest['id'] + 1, 'secret_hex': 'ab' * 32}
-    value['keys'].append(added)
-    put(deployment, 'flow-key/current', value, found['version'])
-    wait_for(
-        lambda: call(deployment.platform, '/objects/flow-key/current')[
-            'value'
-        ]['current'] == added['id'],
-        'use of the new key',
-    )  # fmt: skip
+    found.value['keys'].append(added)
+    put_stored(deployment.platform, found)
 
+    def is_used():
+        stored = get_stored(deployment.platform, FLOW_KEY_OBJECT)
+        return stored.value['current'] == added['id']
 
-def put(deployment, key, value, version):
-    """Write an object past the tool."""
-    headers = {'If-Match': f'"{version}"'}
-    path = f'/objects/{key}'
-    call(deployment.platform, path, {'value': value}, 'PUT', headers)
+    wait_for(is_used, 'use of the new key')
 
 
 @when('the home of firm-a is killed while the platform is down')
--- a/tests/features/steps/exploration_steps.py
+++ b/tests/features/steps/exploration_steps.py
@@ -17,9 +17,9 @@
 from liftmount._internal.models import actions as act
 from liftmount._internal.models import events
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.objects import Claim
 from liftmount._internal.models.objects import DomainStatus
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.settings import LimitSettings
 
 CALLERS = ('c1', 'c2')
--- a/tests/features/steps/group_steps.py
+++ b/tests/features/steps/group_steps.py
@@ -22,12 +22,12 @@
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.models.configuration import Service
 from liftmount._internal.models.envelopes import PEER_MEMBERSHIP
+from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.objects import Claim
 from liftmount._internal.models.objects import ClaimState
 from liftmount._internal.models.objects import DomainStatus
-from liftmount._internal.models.objects import StoredObject
 from liftmount._internal.models.ticks import Tick
 
 TIMES = membership.MembershipTimes()
--- a/tests/features/steps/product_steps.py
+++ b/tests/features/steps/product_steps.py
@@ -25,6 +25,7 @@
 from liftmount._internal.models.settings import StatsdSettings
 from liftmount._internal.utils.counters import Counters
 from stand_ins.deployment import call
+from stand_ins.deployment import PROGRAMS
 
 ROOT = Path(__file__).parents[3]
 GOOD_SETTINGS = {
@@ -93,7 +94,8 @@
         [
             sys.executable,
             '-m',
-            'liftmount._internal.cli.daemon',
+            PROGRAMS,
+            'daemon',
             '--settings',
             str(context.path),
         ],
@@ -282,7 +284,7 @@
 @when('the operator watches the status and firm-a is changed')
 def watch_status(context):
     deployment = context.deployment
-    command = [sys.executable, '-u', '-m', 'liftmount._internal.cli.main']
+    command = [sys.executable, '-u', '-m', PROGRAMS, 'tool']
     command += ['--platform', deployment.platform, 'status', '--watch']
     watch = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     context.revisions = set()
--- a/tests/features/steps/promise_steps.py
+++ b/tests/features/steps/promise_steps.py
@@ -10,7 +10,6 @@
 import cbor2
 from deployment_steps import held_alike
 from deployment_steps import home_of
-from deployment_steps import put
 from deployment_steps import set_cuts
 from deployment_steps import TEAM
 
@@ -25,6 +24,8 @@
 from liftmount.client import Client
 from stand_ins import workload
 from stand_ins.deployment import call
+from stand_ins.deployment import get_stored
+from stand_ins.deployment import put_stored
 from stand_ins.deployment import wait_for
 from stand_ins.workload import Work
 
@@ -42,8 +43,8 @@
             deployment.platform_faults(delay_ms=700)
         case 'the platform loses two answers':
             deployment.platform_faults(lose_answers=2)
-        case 'watches skip changes':
-            deployment.platform_faults(skip_watch=True)
+        case 'the platform forgets each change':
+            deployment.platform_faults(forgets=True)
         case 'domain a cannot reach the platform':
             set_cuts(deployment, [], ('a',))
         case 'a balancer starts anew':
@@ -83,7 +84,7 @@
 def all_hold(context):
     deployment = context.deployment
     key = f'team/{TEAM}'
-    stored = call(deployment.platform, f'/objects/{key}')['version']
+    stored = get_stored(deployment.platform, key).version
     names = deployment.running_balancers()
 
     def holds():
@@ -129,7 +130,7 @@
 @when('two operators change firm-a from the same version')
 def two_operators(context):
     deployment = context.deployment
-    base = call(deployment.platform, f'/objects/team/{TEAM}')['version']
+    base = get_stored(deployment.platform, f'team/{TEAM}').version
     context.results = []
     for deadline_ms in (1_111, 2_222):
         document = deployment.team_document(TEAM)
@@ -153,10 +154,9 @@
 @when('something invalid is written over firm-a past the tool')
 def write_invalid(context):
     deployment = context.deployment
-    found = call(deployment.platform, f'/objects/team/{TEAM}')
-    value = found['value']
-    value['document']['targets'] = 'none'
-    put(deployment, f'team/{TEAM}', value, found['version'])
+    found = get_stored(deployment.platform, f'team/{TEAM}')
+    found.value['document']['targets'] = 'none'
+    put_stored(deployment.platform, found)
 
 
 @then('the status tells what is wrong with "{key}"')
@@ -196,7 +196,7 @@
 
 
 def claim_of(deployment, address):
-    return call(deployment.platform, f'/objects/claim/{address}')['value']
+    return get_stored(deployment.platform, f'claim/{address}').value
 
 
 @when("the address of firm-a's tiles moves to firm-b")
@@ -230,16 +230,16 @@
         )
 
     wait_for(released_elsewhere, 'the release outside of domain a')
-    version = call(deployment.platform, f'/objects/claim/{context.address}')
+    version = get_stored(deployment.platform, f'claim/{context.address}')
     # Several more rounds of the lease holders leave it as it is.
     calls = sum(call(deployment.platform, '/calls').values())
     wait_for(
         lambda: sum(call(deployment.platform, '/calls').values()) > calls + 40,
         'more rounds of the lease holders',
     )
-    later = call(deployment.platform, f'/objects/claim/{context.address}')
+    later = get_stored(deployment.platform, f'claim/{context.address}')
     assert later == version, (version, later)
-    assert later['value']['state'] == 'releasing', later
+    assert later.value['state'] == 'releasing', later
 
 
 @then('the address is granted to firm-b')
