Look only at targets that wait or were chosen, not at all of them

Cause: a balancer before many targets worked without a packet. Each tick looked at every target that had ever been doubted, five times a second the load of all targets was added up, and four times a second all weights were worked out anew; a newcomer to a pool had the mean over all worked out. Change: only targets that are not believed alive are looked at; a pool keeps its demand as one fading share; slots are counted again when a target changes; weights are worked out for the targets that are compared.

--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -3,7 +3,7 @@
 from importlib import import_module
 import sys
 
-BENCHES = ('decisions', 'policy', 'path', 'capacity')
+BENCHES = ('decisions', 'entry', 'policy', 'path', 'capacity')
 
 
 def main() -> int:
--- /dev/null
+++ b/benches/entry.py
@@ -0,0 +1,158 @@
+"""What an entry balancer's decisions cost as the targets grow in number.
+
+One second of its life without packets (ticks, checks of the domain's
+load), the same after some evidence on each target, and one opening.
+"""
+
+import argparse
+import json
+
+from attrs import frozen
+
+from benches.timing import fit_line
+from benches.timing import time_calls
+from liftmount._internal.decisions import directory
+from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions import target_health
+from liftmount._internal.decisions.flow_table import domain_loads
+from liftmount._internal.decisions.flow_table import ForwardingState
+from liftmount._internal.models import flow_messages as flows
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import Segment
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.models.segments import TargetEntry
+from liftmount._internal.models.ticks import Tick
+from liftmount._internal.services.packets import OVERFLOW_MS
+from liftmount._internal.services.packets import TICK_MS
+
+TARGETS = (100, 1_000, 3_000, 27_000)
+DOMAINS = 7
+SERVICES = 20
+SECOND_MS = 1_000
+SECONDS = 5
+OPENINGS = 2_000
+# New flows a second of one of 2,700 balancers, at 260,000 in all.
+OPENINGS_PER_S = 96
+ADDRESS = Endpoint('198.51.100.1', 443)
+
+
+@frozen
+class Cost:
+    """Figures at one number of targets."""
+
+    targets: int
+    idle_ms_per_s: float
+    after_evidence_ms_per_s: float
+    opening_us: float
+
+
+def make_entry(number):
+    """Return a target of some domain and service."""
+    return TargetEntry(
+        name=f'i-{number:x}',
+        number=number,
+        service=f's{number % SERVICES}',
+        endpoint=Endpoint('127.0.0.1', 1 + number % 60_000),
+        failure_domain=f'd{number // SERVICES % DOMAINS}',
+        slots=2,
+    )
+
+
+class Entry:
+    """The decisions of one balancer, and its clock."""
+
+    def __init__(self, targets):
+        self.now_ms = SECOND_MS
+        self.state = ForwardingState('d0', 60_000)
+        self.directory = directory.DirectoryState()
+        entries = tuple(make_entry(number + 1) for number in range(targets))
+        listed = directory.TargetsListed(entries, 1, self.now_ms)
+        for action in directory.decide(self.directory, listed):
+            put = flows.TargetPut(action.entry, self.now_ms)
+            forwarding.decide(self.state, put)
+        route = Route(
+            'one',
+            ADDRESS,
+            RouteKind.REPEATABLE,
+            (ServiceShare('s0', 1),),
+            1,
+            100,
+        )
+        table = RouteTable(1, {ADDRESS: route}, {}, 15_000)
+        changed = flows.RoutesChanged(table, self.now_ms)
+        forwarding.decide(self.state, changed)
+        settled = flows.TargetsSettled(self.now_ms)
+        forwarding.decide(self.state, settled)
+
+    def live(self, _index=0):
+        """Let a second pass, as the packet service does."""
+        for _ in range(SECOND_MS // TICK_MS):
+            self.now_ms += TICK_MS
+            tick = Tick(self.now_ms)
+            directory.decide(self.directory, tick)
+            forwarding.decide(self.state, tick)
+            target_health.decide(self.state.health, tick)
+            if self.now_ms % OVERFLOW_MS == 0:
+                domain_loads(self.state, 1, self.now_ms)
+
+    def give_evidence(self):
+        """Have each target doubted once, and answer."""
+        health = self.state.health
+        for name in self.state.tags.entries:
+            silent = target_health.TargetSilent(name, self.now_ms)
+            target_health.decide(health, silent)
+            answered = target_health.ProbeResult.ANSWERED
+            ended = target_health.ProbeEnded(name, answered, self.now_ms)
+            target_health.decide(health, ended)
+
+    def open(self, index):
+        """Open a flow; time passes as between openings."""
+        self.now_ms += SECOND_MS // OPENINGS_PER_S
+        segment = Segment(
+            flow=index.to_bytes(12, 'big'),
+            client=Endpoint('192.0.2.1', 1 + index % 60_000),
+            address=ADDRESS,
+            opens=True,
+            closes=False,
+            resets=False,
+            sequence=0,
+            acknowledgement=0,
+            length_bytes=0,
+            tag=0,
+            datagram=b'',
+        )
+        arrived = flows.SegmentArrived(segment, self.now_ms)
+        forwarding.decide(self.state, arrived)
+
+
+def measure(targets: int) -> Cost:
+    """Return the figures at one number of targets."""
+    entry = Entry(targets)
+    idle = time_calls(entry.live, SECONDS)
+    opening = time_calls(entry.open, OPENINGS)
+    entry.give_evidence()
+    after = time_calls(entry.live, SECONDS)
+    return Cost(
+        targets,
+        round(idle.median_us / 1_000, 2),
+        round(after.median_us / 1_000, 2),
+        round(opening.median_us, 1),
+    )
+
+
+def main(arguments) -> int:
+    """Run the bench."""
+    argparse.ArgumentParser(description=__doc__).parse_args(arguments)
+    costs = [measure(targets) for targets in TARGETS]
+    print('targets   idle ms/s   after evidence ms/s   opening us')
+    for one in costs:
+        print(
+            f'{one.targets:7} {one.idle_ms_per_s:11.2f} '
+            f'{one.after_evidence_ms_per_s:21.2f} {one.opening_us:12.1f}'
+        )
+    points = [(one.targets, one.after_evidence_ms_per_s) for one in costs]
+    print(json.dumps({'ms_per_s_by_targets': fit_line(points)}))
+    return 0
--- a/src/liftmount/_internal/decisions/flow_table.py
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 from attrs import Factory
+from attrs import frozen
 
 from liftmount._internal.decisions.flow_tags import TagTable
 from liftmount._internal.decisions.overflow import DomainLoad
@@ -67,13 +68,26 @@
     working_ms: int = 0
 
 
+@frozen
+class SlotCounts:
+    """Slots of a service in the own domain and in others.
+
+    Those of dead targets count only in ``far``.
+    """
+
+    near: int
+    far: int
+    far_alive: int
+
+
 @define
 class ForwardingState:
     """Routes, targets, pools by service, flows, and evidence.
 
     ``former`` holds when a target that is gone may be forgotten; ``seed``
     makes the choices of balancers differ.  ``far_seen_ms`` is when a flow
-    to a target of another failure domain last showed progress.
+    to a target of another failure domain last showed progress.  ``slots``
+    keeps the counts of services whose targets have not changed since.
     """
 
     failure_domain: str
@@ -83,6 +97,7 @@
     has_targets: bool = False
     tags: TagTable = Factory(TagTable)
     pools: dict[str, Pool] = Factory(dict)
+    slots: dict[str, SlotCounts] = Factory(dict)
     former: dict[str, int] = Factory(dict)
     health: TargetHealth = Factory(TargetHealth)
     flows: dict[bytes, Flow] = Factory(dict)
@@ -191,10 +206,17 @@
 
 
 def _domain_load(state, pool, members, now_ms):
-    demand = 0.0
+    counts = state.slots.get(pool.key)
+    if counts is None:
+        counts = _count_slots(state, pool)
+        state.slots[pool.key] = counts
+    demand = pool.demand(now_ms) * members
+    return DomainLoad(demand, counts.near, counts.far, counts.far_alive)
+
+
+def _count_slots(state, pool):
     near = far = far_alive = 0
     for one in pool.targets.values():
-        demand += one.busy.update(one.in_progress, now_ms)
         if one.leaving:
             continue
         is_dead = state.health.is_dead(one.name)
@@ -203,4 +225,4 @@
         else:
             far += one.slots
             far_alive += 0 if is_dead else one.slots
-    return DomainLoad(demand * members, near, far, far_alive)
+    return SlotCounts(near, far, far_alive)
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -390,6 +390,7 @@
     entry = event.entry
     state.tags.add(entry)
     state.former.pop(entry.name, None)
+    state.slots.pop(entry.service, None)
     state.pool(entry.service).put(_info(state, event), event.now_ms)
     return []
 
@@ -411,6 +412,7 @@
     entry = state.tags.entries.get(event.name)
     if entry is None:
         return []
+    state.slots.pop(entry.service, None)
     state.pool(entry.service).remove(event.name)
     state.former[event.name] = event.now_ms + state.flow_max_age_ms
     return []
@@ -429,6 +431,7 @@
     entry = state.tags.entries.get(event.name)
     if entry is None:
         return []
+    state.slots.pop(entry.service, None)
     state.pool(entry.service).set_last_choice(event.name, event.is_dead)
     if not event.is_dead:
         return []
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -101,6 +101,7 @@
     ejections: int = 0
     ejected_until_ms: int = 0
     weight: float = 1.0
+    weight_until_ms: int = 0
     lean: float = 0.0
 
     def ramp(self, now_ms: int) -> float:
@@ -117,6 +118,7 @@
 
     ``remote_penalty`` is the part of its weight that a target of another
     failure domain loses; ``fade_ms`` is how fast its busy share fades.
+    ``busy`` and ``in_progress`` are those of all targets together.
     """
 
     key: str
@@ -126,9 +128,14 @@
     fade_ms: float = FADE_MS
     seed: int = 1
     panics: int = 0
+    busy: BusyShare = Factory(
+        lambda self: BusyShare(self.fade_ms), takes_self=True
+    )
+    in_progress: int = 0
     _usable: list | None = None
     _usable_until_ms: int = 0
-    _weights_until_ms: int = 0
+    _reference_ms: dict = Factory(dict)
+    _reference_until_ms: int = 0
 
     def update(self, infos, now_ms: int) -> None:
         """Take over the targets that configuration lists."""
@@ -149,11 +156,14 @@
         known.last_choice = info.last_choice
         known.failure_domain = info.failure_domain
         known.warm_until_ms = now_ms + info.warm_up_ms
+        known.weight_until_ms = 0
 
     def remove(self, name: str) -> None:
         """Forget a target."""
         self._forget_usable()
-        self.targets.pop(name, None)
+        target = self.targets.pop(name, None)
+        if target is not None:
+            self.in_progress -= target.in_progress
 
     def _new(self, info, now_ms):
         # A newcomer counts as busy as the others, or it would be flooded.
@@ -193,18 +203,19 @@
         info = TargetInfo(
             name, target.failure_domain, incarnation, target.leaving
         )
+        self.in_progress -= target.in_progress
         self.targets[name] = self._new(info, now_ms)
         self._forget_usable()
 
+    def demand(self, now_ms: int) -> float:
+        """Return how many slots were in use of late, over all targets."""
+        return self.busy.update(self.in_progress, now_ms)
+
     def mean_busy(self, now_ms: int) -> float:
-        """Return the mean share of busy slots over all targets."""
+        """Return how many slots of a target were in use, on average."""
         if not self.targets:
             return 0.0
-        total = sum(
-            one.busy.update(one.in_progress, now_ms) / one.capacity.limit
-            for one in self.targets.values()
-        )
-        return total / len(self.targets)
+        return self.demand(now_ms) / len(self.targets)
 
     def usable(self, now_ms: int) -> list[TargetLoad]:
         """Return the targets that may get new work.
@@ -250,7 +261,6 @@
 
     def _forget_usable(self):
         self._usable = None
-        self._weights_until_ms = 0
 
     def choose(self, now_ms: int, avoid=()) -> TargetLoad | None:
         """Return the target for one request, or None when all are full."""
@@ -299,20 +309,23 @@
             usable = [one for one in usable if one.name not in avoid]
         if not usable:
             return None
-        if now_ms >= self._weights_until_ms:
-            self._weigh(now_ms)
+        if now_ms >= self._reference_until_ms:
+            self._reference_until_ms = now_ms + WEIGHTS_MS
+            # Where latencies are not seen there is nothing to compare.
+            seen = [one for one in usable if one.capacity.latencies]
+            self._reference_ms = self._mean_latency_ms(seen)
+        for one in usable:
+            if now_ms >= one.weight_until_ms:
+                self._weigh(one, now_ms)
         return min(usable, key=cost)
 
-    def _weigh(self, now_ms):
-        """Work the weights for long flows out anew; they change slowly."""
-        self._weights_until_ms = now_ms + WEIGHTS_MS
-        targets = self.targets.values()
-        reference_ms = self._mean_latency_ms(targets)
-        for one in targets:
-            weight = stream_weight(one, reference_ms) * one.ramp(now_ms)
-            if one.failure_domain != self.failure_domain:
-                weight *= 1.0 - self.remote_penalty
-            one.weight = weight
+    def _weigh(self, one, now_ms):
+        """Work out the weight of a target anew; it changes slowly."""
+        one.weight_until_ms = now_ms + WEIGHTS_MS
+        weight = stream_weight(one, self._reference_ms) * one.ramp(now_ms)
+        if one.failure_domain != self.failure_domain:
+            weight *= 1.0 - self.remote_penalty
+        one.weight = weight
 
     def _score(self, one, prior, now_ms):
         limit = one.capacity.usable_limit(prior)
@@ -344,6 +357,8 @@
         target = self.targets[name]
         target.busy.update(target.in_progress, now_ms)
         target.in_progress += 1
+        self.busy.update(self.in_progress, now_ms)
+        self.in_progress += 1
         return Start(target.in_progress, target.ended)
 
     def finished(self, name: str, now_ms: int) -> TargetLoad | None:
@@ -352,8 +367,11 @@
         if target is None:
             return None
         target.busy.update(target.in_progress, now_ms)
-        target.in_progress = max(0, target.in_progress - 1)
         target.ended += 1
+        if target.in_progress:
+            target.in_progress -= 1
+            self.busy.update(self.in_progress, now_ms)
+            self.in_progress -= 1
         return target
 
     def succeeded(self, name: str) -> None:
--- a/src/liftmount/_internal/decisions/target_health.py
+++ b/src/liftmount/_internal/decisions/target_health.py
@@ -110,10 +110,15 @@
 
 @define
 class TargetHealth:
-    """Evidence on the targets that some flow spoke against."""
+    """Evidence on the targets that some flow spoke against.
+
+    ``waiting`` are those that are not believed alive: only they need a
+    look at each tick.
+    """
 
     targets: dict[str, _Health] = Factory(dict)
     dead: set[str] = Factory(set)
+    waiting: set[str] = Factory(set)
 
     def is_dead(self, target: str) -> bool:
         """Tell whether a target is believed dead."""
@@ -129,6 +134,7 @@
         """Drop what is known of a target that is gone."""
         self.targets.pop(target, None)
         self.dead.discard(target)
+        self.waiting.discard(target)
 
 
 def decide(state: TargetHealth, event) -> list:
@@ -154,6 +160,7 @@
     if event.now_ms - health.seen_ms <= LIFE_MS:
         return []
     health.condition = Condition.PROBED
+    state.waiting.add(event.target)
     return _probe(health, event.target)
 
 
@@ -177,6 +184,7 @@
     probes = health.silent_probes
     health.silent_probes = 0
     state.dead.discard(target)
+    state.waiting.discard(target)
     return [TargetJudged(target, False, probes)] if was_dead else []
 
 
@@ -216,9 +224,9 @@
 
 def _tick(state, now_ms):
     actions = []
-    for target, health in state.targets.items():
-        waits = health.condition is not Condition.ALIVE
-        is_due = waits and now_ms >= health.next_probe_ms
+    for target in state.waiting:
+        health = state.targets[target]
+        is_due = now_ms >= health.next_probe_ms
         if is_due and not health.is_probing:
             actions += _probe(health, target)
     return actions
