Learn of the others from members, and pull only what is not known

Each newcomer fetched all members from each of three seeds, three times; and each new configuration made every member pull all targets too. Ruled out: beats (their size does not grow with the fleet). Change: a newcomer asks one seed in each of two turns, then two members of its domain in each of three; it tells its own record as it asks; a list holds the asker's domain and four members of each other one. A pull says what is known, and only the rest is told. The order of the relay tree is worked out once for all records of a list.

--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -128,6 +128,20 @@
         raise PacketError(f'not knowledge: {error}') from error
 
 
+def encode_member(member: Member) -> bytes:
+    """Return the wire form of the record of a member."""
+    return cbor2.dumps(member_record(member))
+
+
+def decode_member(data: bytes) -> Member:
+    """Read the record of a member; raises PacketError on anything else."""
+    try:
+        return parse_member(cbor2.loads(data))
+    except Exception as error:
+        # The library raises whatever the bytes make it stumble over.
+        raise PacketError(f'not a member: {error}') from error
+
+
 def encode_members(members) -> bytes:
     """Return the wire form of the records of members."""
     return zlib.compress(cbor2.dumps([member_record(one) for one in members]))
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -7,6 +7,7 @@
 
 from liftmount._internal.clock import seconds
 from liftmount._internal.decisions import following
+from liftmount._internal.decisions import joining
 from liftmount._internal.decisions import membership
 from liftmount._internal.decisions import spreading
 from liftmount._internal.decisions.relay import relay_order
@@ -22,9 +23,11 @@
 from liftmount._internal.models.identity import RANDOM_BITS
 from liftmount._internal.models.knowledge import decode_beat
 from liftmount._internal.models.knowledge import decode_knowledge
+from liftmount._internal.models.knowledge import decode_member
 from liftmount._internal.models.knowledge import decode_members
 from liftmount._internal.models.knowledge import encode_beat
 from liftmount._internal.models.knowledge import encode_knowledge
+from liftmount._internal.models.knowledge import encode_member
 from liftmount._internal.models.knowledge import encode_members
 from liftmount._internal.models.knowledge import is_beat
 from liftmount._internal.models.members import Member
@@ -41,11 +44,8 @@
 from liftmount._internal.services.packets import DomainMembers
 
 TICK_MS = 50
-KNOWLEDGE_PATH = '/knowledge'
-MEMBERS_PATH = '/members'
-# When a newcomer asks the seeds for all members: at once, and again when
-# those that started with it have reached the seeds.
-ASK_SEEDS_AT_MS = (0, 1_500, 4_000)
+KNOWLEDGE_PATH = '/knowledge/'
+MEMBERS_PATH = '/members/'
 # A configuration of hundreds of routes is some 10 KB when compressed; on
 # a link of 5 Mbit/s with eight askers that is 0.2 s.
 PULL_TIMEOUT_MS = 1_500
@@ -128,27 +128,42 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(super().run())
             group.create_task(self._tick_forever())
-            group.create_task(self._ask_seeds())
+            group.create_task(self._join())
 
-    async def _ask_seeds(self):
+    async def _join(self):
+        """Learn of the others in a few turns."""
         waited_ms = 0
-        for at_ms in ASK_SEEDS_AT_MS:
+        for turn, at_ms in enumerate(joining.ASK_AT_MS):
             await asyncio.sleep(seconds(at_ms - waited_ms))
             waited_ms = at_ms
-            for seed in self.members.seeds:
-                await self._ask_members(seed)
-
-    async def _ask_members(self, seed):
+            own = self.members.own
+            near = [
+                one
+                for one in self.members.reachable()
+                if one.failure_domain == own.failure_domain
+            ]
+            wanted = joining.answers_wanted(turn)
+            for peer in joining.whom_to_ask(
+                own, turn, self.members.seeds, near
+            ):
+                wanted -= await self._ask_members(peer)
+                if not wanted:
+                    break
+
+    async def _ask_members(self, peer):
+        """Ask a peer for members; return whether it answered."""
+        path = MEMBERS_PATH + encode_member(self.members.own).hex()
         try:
-            members = decode_members(await self._get(seed, MEMBERS_PATH))
+            members = decode_members(await self._get(peer, path))
         except (HttpError, PacketError) as error:
-            self.counters.count('retried.seed_failed')
+            self.counters.count('retried.join_failed')
             self.log.write(
-                self.name, 'seed_failed', seed=str(seed), cause=str(error)
+                self.name, 'join_failed', peer=str(peer), cause=str(error)
             )
-            return
+            return False
         now_ms = self.clock.now_ms()
         self._execute(membership.learn_all(self.members, members, now_ms))
+        return True
 
     async def _get(self, address, path):
         connection = HttpConnection(address)
@@ -180,15 +195,35 @@
             self.counters.count('refused.malformed_peer_message')
 
     def _answer(self, path):
-        if path == MEMBERS_PATH:
-            self.counters.count('members_given')
-            known = [self.members.own, *self.members.reachable()]
-            return HttpAnswer(HTTP_OK, encode_members(known), {})
-        if path != KNOWLEDGE_PATH:
+        if path.startswith(MEMBERS_PATH):
+            return self._answer_members(path.removeprefix(MEMBERS_PATH))
+        if path.startswith(KNOWLEDGE_PATH):
+            return self._answer_knowledge(path.removeprefix(KNOWLEDGE_PATH))
+        return HttpAnswer(HTTP_NOT_FOUND, b'', {})
+
+    def _answer_knowledge(self, text):
+        """Tell a peer what it does not know yet."""
+        revision, _slash, version = text.partition('/')
+        if not (revision.isdecimal() and version.isdecimal()):
+            self.counters.count('refused.malformed_peer_message')
             return HttpAnswer(HTTP_NOT_FOUND, b'', {})
         self.counters.count('knowledge_given')
-        data = encode_knowledge(self.packets.knowledge())
-        return HttpAnswer(HTTP_OK, data, {})
+        known = self.packets.knowledge(int(revision), int(version))
+        return HttpAnswer(HTTP_OK, encode_knowledge(known), {})
+
+    def _answer_members(self, text):
+        """Tell a newcomer of members, and learn of it."""
+        try:
+            asker = decode_member(bytes.fromhex(text))
+        except (ValueError, PacketError):
+            self.counters.count('refused.malformed_peer_message')
+            return HttpAnswer(HTTP_NOT_FOUND, b'', {})
+        self.counters.count('members_given')
+        now_ms = self.clock.now_ms()
+        self._execute(membership.learn_all(self.members, [asker], now_ms))
+        known = [self.members.own, *self.members.reachable()]
+        told = joining.members_to_tell(known, asker)
+        return HttpAnswer(HTTP_OK, encode_members(told), {})
 
     # Messages.
 
@@ -270,12 +305,14 @@
     # Actions.
 
     def _execute(self, actions):
+        is_reordered = False
         for action in actions:
             match action:
                 case membership.SendDatagram():
                     self._send(action.datagram, action.destination)
                 case membership.MemberChanged(member):
-                    self._member_changed(member)
+                    self._log_member(member)
+                    is_reordered = True
                 case membership.DigestDiffers(member):
                     self._ask_other_domain(member)
                 case membership.BudgetSpent():
@@ -290,12 +327,14 @@
                     self.kernel.post(TARGETS, following.Hurried())
                 case spreading.SetReading():
                     self._set_reading(action)
+        if is_reordered:
+            self._reorder()
 
     def _send(self, datagram, destination):
         self.counters.count('control_bytes', len(datagram))
         self.socket.send(datagram, destination.socket_address())
 
-    def _member_changed(self, member):
+    def _log_member(self, member):
         self.log.write(
             self.name,
             'member',
@@ -304,7 +343,6 @@
             has_platform=member.has_platform,
             leaving=member.leaving,
         )
-        self._reorder()
 
     def _send_beat(self, action):
         datagram = encode_beat(action.beat)
@@ -352,7 +390,8 @@
 
     async def _fetch(self, member):
         try:
-            data = await self._get(member.control, KNOWLEDGE_PATH)
+            path = f'{KNOWLEDGE_PATH}{self._known_revisions()}'
+            data = await self._get(member.control, path)
             knowledge = decode_knowledge(data)
         except (HttpError, PacketError) as error:
             self.counters.count('retried.pull_failed')
@@ -362,6 +401,12 @@
             return
         self._take(member, knowledge)
 
+    def _known_revisions(self):
+        """Return what the packet path holds, as a pull says it."""
+        table = self.packets.state.table
+        version = table.version if table else 0
+        return f'{self.packets.directory.revision}/{version}'
+
     def _take(self, member, knowledge):
         self.log.write(
             self.name,
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -213,13 +213,21 @@
                 self.routes_revision, known.routes_revision
             )
 
-    def knowledge(self) -> Knowledge:
-        """Return all that is known, with the revisions that go with it."""
+    def knowledge(self, revision: int = 0, version: int = 0) -> Knowledge:
+        """Return what somebody does not know yet.
+
+        It knows targets up to ``revision`` and routes of ``version``.
+        """
         now_ms = self.clock.now_ms()
+        table = self.state.table
+        if table is not None and table.version <= version:
+            table = None
+        if revision and self.directory.revision <= revision:
+            return Knowledge((), revision, table, self.routes_revision)
         return Knowledge(
             targets=self.directory.listed(),
             targets_revision=self.directory.revision,
-            table=self.state.table,
+            table=table,
             routes_revision=self.routes_revision,
             doubted=self.directory.doubts(now_ms),
             former=former_targets(self.state, now_ms),
--- /dev/null
+++ b/tests/features/steps/joining_steps.py
@@ -0,0 +1,232 @@
+"""Steps on newcomers that learn of the other balancers."""
+
+import random
+
+from attrs import define
+from attrs import Factory
+from behave import given
+from behave import then
+from behave import when
+
+from liftmount._internal.clock import ManualClock
+from liftmount._internal.decisions import joining
+from liftmount._internal.decisions import membership
+from liftmount._internal.kernel import Kernel
+from liftmount._internal.models import knowledge as wire
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.entry_settings import EntrySettings
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.feeds import ROUTES
+from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.members import Member
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.services.feeds import FeedNews
+from liftmount._internal.services.packets import PacketService
+from liftmount._internal.utils.metrics import Metrics
+from liftmount._internal.utils.structured import StructuredLog
+from tests.features.steps.forwarding_steps import make_entry
+
+START_MS = 1_000
+SPREAD_MS = 300
+TIMES = membership.MembershipTimes()
+
+
+def make_record(number, domains):
+    """Return the record of a balancer."""
+    peer = Endpoint(f'10.{number >> 8}.{number & 255}.1', 7_720)
+    name = f'lm-{number}'
+    return Member(name, f'd{number % domains}', peer, peer, 1)
+
+
+@define
+class Fleet:
+    """Balancers that ask each other for members, without a network."""
+
+    domains: int
+    seeds: tuple
+    states: dict = Factory(dict)
+    down: set = Factory(set)
+    told_bytes: dict = Factory(dict)
+
+    def start(self, record, at_ms):
+        """Start a balancer; return when it asks, and in which turn."""
+        state = membership.make_membership(record, TIMES, self.seeds, at_ms)
+        self.states[record.peer] = state
+        return [
+            (at_ms + ask_ms, turn, record.peer)
+            for turn, ask_ms in enumerate(joining.ASK_AT_MS)
+        ]
+
+    def play(self, asks):
+        """Let everyone ask, in the order of time."""
+        for now_ms, turn, peer in sorted(asks, key=lambda one: one[:2]):
+            self.ask(peer, turn, now_ms)
+
+    def ask(self, peer, turn, now_ms):
+        """Let one balancer ask in one turn."""
+        state = self.states[peer]
+        near = self.near(state)
+        whom = joining.whom_to_ask(state.own, turn, state.seeds, near)
+        wanted = joining.answers_wanted(turn)
+        for other in whom:
+            if wanted and other in self.states and other not in self.down:
+                self.answer(self.states[other], state, now_ms)
+                wanted -= 1
+
+    @staticmethod
+    def near(state):
+        """Return the members of the own domain that a balancer knows."""
+        domain = state.own.failure_domain
+        return [
+            one for one in state.reachable() if one.failure_domain == domain
+        ]
+
+    def answer(self, asked, asker, now_ms):
+        """Let one balancer tell another what it knows."""
+        asked_of = wire.decode_member(wire.encode_member(asker.own))
+        membership.learn_all(asked, [asked_of], now_ms)
+        known = [asked.own, *asked.reachable()]
+        data = wire.encode_members(joining.members_to_tell(known, asked_of))
+        told = self.told_bytes.get(asked.own.peer, 0)
+        self.told_bytes[asked.own.peer] = told + len(data)
+        membership.learn_all(asker, wire.decode_members(data), now_ms)
+
+
+@given('{count:d} balancers in {domains:d} domains that know {seeds:d} seeds')
+def fleet(context, count, domains, seeds):
+    context.records = [make_record(number, domains) for number in range(count)]
+    known = tuple(one.peer for one in context.records[:seeds])
+    context.fleet = Fleet(domains, known)
+
+
+@given('{count:d} of the seeds are down')
+def seeds_down(context, count):
+    down = context.records[:count]
+    context.records = context.records[count:]
+    context.fleet.down |= {one.peer for one in down}
+
+
+@when('all of them start within 300 ms')
+def all_start(context):
+    rng = random.Random(4)
+    asks = []
+    for record in context.records:
+        at_ms = START_MS + rng.randrange(SPREAD_MS)
+        asks += context.fleet.start(record, at_ms)
+    context.fleet.play(asks)
+
+
+@when('one more starts {after:d} ms later')
+def one_more(context, after):
+    record = make_record(len(context.records), context.fleet.domains)
+    asks = context.fleet.start(record, START_MS + after)
+    context.fleet.play(asks[:1])
+    context.newcomer = record
+
+
+def domain_names(context, domain):
+    """Return the names of all balancers of a domain."""
+    return {
+        state.own.name
+        for state in context.fleet.states.values()
+        if state.own.failure_domain == domain
+    }
+
+
+@then('each knows all members of its own domain')
+def each_knows_all(context):
+    for state in context.fleet.states.values():
+        wanted = domain_names(context, state.own.failure_domain)
+        found = {one.name for one in context.fleet.near(state)}
+        found.add(state.own.name)
+        assert found == wanted, (state.own.name, len(found), len(wanted))
+
+
+@then('each knows all members of its own domain within 1 turn of the last one')
+def newcomer_knows_all(context):
+    state = context.fleet.states[context.newcomer.peer]
+    wanted = domain_names(context, state.own.failure_domain)
+    found = {one.name for one in context.fleet.near(state)}
+    assert found | {state.own.name} == wanted, wanted - found
+
+
+@then('each knows at least {count:d} members of each other domain')
+def each_knows_some(context, count):
+    fleet = context.fleet
+    for state in fleet.states.values():
+        for number in range(fleet.domains):
+            domain = f'd{number}'
+            known = [
+                one
+                for one in state.reachable()
+                if one.failure_domain == domain
+            ]
+            if domain != state.own.failure_domain:
+                assert len(known) >= count, (state.own.name, domain)
+
+
+@then('no balancer told more than {most:d} bytes')
+def told_at_most(context, most):
+    found = max(context.fleet.told_bytes.values())
+    assert found <= most, found
+
+
+@given('a newcomer that knows the seeds s1 and s2, and {near:d} near members')
+def newcomer(context, near):
+    context.own = make_record(99, 1)
+    context.seeds = (Endpoint('10.9.0.1', 1), Endpoint('10.9.0.2', 1))
+    context.near = [make_record(number, 1) for number in range(near)]
+
+
+@then('in turn {turn:d} it asks {whom}')
+def asks_in_turn(context, turn, whom):
+    found = joining.whom_to_ask(context.own, turn, context.seeds, context.near)
+    first = joining.whom_to_ask(context.own, 0, context.seeds, context.near)
+    members = {one.peer for one in context.near}
+    match whom:
+        case 'seeds':
+            assert set(found) == set(context.seeds), found
+        case 'the other seed first':
+            assert found == first[::-1], (first, found)
+        case 'members, then seeds':
+            assert set(found[:2]) <= members and len(set(found[:2])) == 2
+            assert set(found[2:]) == set(context.seeds), found
+        case _:
+            raise AssertionError(whom)
+
+
+@given('a balancer that knows targets up to revision {revision:d} and routes '
+       'of version {version:d}')  # fmt: skip
+def knowing_balancer(context, revision, version):
+    here = Endpoint('127.0.0.1', 1)
+    options = EntrySettings(
+        name='lm-1',
+        failure_domain='a',
+        packets=here,
+        readiness=here,
+        metrics=here,
+        store=here,
+        peer=here,
+        seeds=(),
+        flow_max_age_ms=60_000,
+        stop_ms=6_000,
+    )
+    kernel = Kernel(ManualClock(START_MS))
+    log = StructuredLog(kernel.clock)
+    context.packets = PacketService(kernel, None, options, log, Metrics())
+    entries = (make_entry('one', 'guide'), make_entry('two', 'guide'))
+    table = RouteTable(version, {}, {}, 15_000)
+    context.packets.handle(FeedNews(TARGETS, Listing(entries, revision)))
+    context.packets.handle(FeedNews(ROUTES, Listing((table,), 3)))
+
+
+@when('somebody asks who knows revision {revision:d} and version {version:d}')
+def somebody_asks(context, revision, version):
+    known = context.packets.knowledge(revision, version)
+    context.told = wire.decode_knowledge(wire.encode_knowledge(known))
+
+
+@then('it is told {count:d} targets and {routes}')
+def told_parts(context, count, routes):
+    assert len(context.told.targets) == count, context.told
+    assert (context.told.table is not None) == (routes == 'the routes')
