Read the store apart from the lease holder's duties

services/platform.py held reading, lease and duties in 540 lines; reading is store/reader.py now, and calls of tests to stand-ins are stand_ins/calls.

--- a/benches/path.py
+++ b/benches/path.py
@@ -15,9 +15,9 @@
 from attrs import evolve
 
 from stand_ins import history
-from stand_ins.deployment import call
+from stand_ins.calls import call
+from stand_ins.calls import list_stored
 from stand_ins.deployment import Deployment
-from stand_ins.deployment import list_stored
 from stand_ins.plans import ALL_PLANS
 
 SETTLE_S = 4.0
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -38,8 +38,8 @@
 from liftmount._internal.models.objects import SPREAD_KINDS
 from liftmount._internal.models.reasons import Reason
 from liftmount._internal.models.ticks import Tick
-from liftmount._internal.store.instances import read_instance
 from liftmount._internal.store.interface import ObjectStore
+from liftmount._internal.store.reader import ObjectReader
 from liftmount._internal.store.statuses import read_statuses
 from liftmount._internal.store.writing import write_and_resolve
 from liftmount._internal.utils.documents import structure
@@ -49,8 +49,6 @@
 RETRY_MS = 5_000
 WATCH_RETRY_MS = 300
 SECRET_BYTES = 32
-# A watch that only asks for what is known by now.
-AT_ONCE_MS = 1
 LIST_ALL_MS = 300_000
 # Failed calls in a row before another member is to try.
 FAILURES_TO_YIELD = 2
@@ -71,6 +69,9 @@
         self.identity = identity
         self.counters = counters
         self.store = store
+        self.reader = ObjectReader(
+            store, lambda: self._store().objects, self._hand_on
+        )
         self.lease = lease_decisions.LeaseState(
             name=identity.name,
             incarnation=identity.incarnation,
@@ -83,14 +84,11 @@
         self._digest = b''
         self._digests = {}
         self._members = None
-        self._instances = {}
         self._is_reached = True
         self._failures = 0
         self._retry_at_ms = 0
-        self._revisions = {}
         self._must_list = True
         self._list_all_ms = 0
-        self._instance_revision = None
         self._next_poll_ms = 0
         self._status = None
         self._status_version = None
@@ -208,10 +206,12 @@
         now_ms = self.clock.now_ms()
         await self._keep_lease(now_ms)
         if self._must_list or now_ms >= self._list_all_ms:
-            await self._list()
+            self._list_all_ms = now_ms + LIST_ALL_MS
+            await self.reader.list_all()
+            self._must_list = False
         if now_ms >= self._next_poll_ms:
             self._next_poll_ms = now_ms + self.settings.platform.poll_ms
-            await self._read_instances()
+            await self.reader.read_instances()
         if self.lease.is_held(self.clock.now_ms()):
             await self._report()
             await self._do_duties()
@@ -220,104 +220,22 @@
         while True:
             await asyncio.sleep(seconds(WATCH_RETRY_MS))
             while self._is_root() and self._is_reached:
-                if kind not in self._revisions:
+                if not self.reader.may_watch(kind):
                     break
                 try:
-                    await self._watch(kind)
+                    await self.reader.watch(
+                        kind, self.settings.platform.watch_ms
+                    )
                 except HistoryGoneError:
                     LOG.info('The store forgot its history of %s.', kind)
-                    del self._revisions[kind]
                     self._must_list = True
                 except PlatformError as error:
                     # The next step finds out whether others fail too.
                     LOG.info('A watch of %s ended: %s.', kind, error)
                     break
 
-    async def _watch(self, kind):
-        delta = await self.store.watch(
-            kind, self._revisions[kind], self.settings.platform.watch_ms
-        )
-        arrived = [
-            *delta.written,
-            *(
-                StoredObject(f'{kind}/{name}', delta.revision, None)
-                for name in delta.removed
-            ),
-        ]
-        self._take(arrived, delta.revision, kind)
-
-    # Reading.
-
-    async def _list(self):
-        """Read all objects; what is missing from a list is deleted."""
-        self._list_all_ms = self.clock.now_ms() + LIST_ALL_MS
-        for kind in SPREAD_KINDS:
-            listing = await self.store.list(kind.value)
-            deleted = self._deleted(kind.value, listing)
-            self._take(
-                [*listing.items, *deleted], listing.revision, kind.value
-            )
-        self._must_list = False
-
-    def _take(self, objects, revision, kind):
-        """Hand on what is newer than what is known."""
-        self._revisions[kind] = max(revision, self._revisions.get(kind, 0))
-        known = self._store().versions()
-        newer = [
-            item for item in objects if item.version > known.get(item.key, 0)
-        ]
-        if newer:
-            arrived = ObjectsArrived(newer, 'the platform')
-            self.kernel.post('configuration', arrived)
-
-    def _deleted(self, kind, listing):
-        """Return deletions of what a whole list no longer has.
-
-        What is newer than the list was written since.
-        """
-        listed = {item.key for item in listing.items}
-        return [
-            StoredObject(item.key, listing.revision, None)
-            for item in self._store().objects.values()
-            if item.kind == kind
-            and item.value is not None
-            and item.key not in listed
-            and item.version < listing.revision
-        ]
-
-    async def _read_instances(self):
-        kind = ObjectKind.INSTANCE.value
-        if self._instance_revision is None:
-            news = await self.store.list(kind)
-            written = news.items
-            deleted = self._deleted(kind, news)
-            self._instances.clear()
-        else:
-            try:
-                news = await self.store.watch(
-                    kind, self._instance_revision, AT_ONCE_MS
-                )
-            except HistoryGoneError:
-                self._instance_revision = None
-                return
-            written = news.written
-            deleted = [
-                StoredObject(f'{kind}/{name}', news.revision, None)
-                for name in news.removed
-            ]
-        changed = [self._take_instance(item) for item in written]
-        for item in deleted:
-            self._instances.pop(item.name, None)
-        changed += deleted
-        self._instance_revision = news.revision
-        if changed:
-            arrived = ObjectsArrived(changed, 'the instance list')
-            self.kernel.post('configuration', arrived)
-
-    def _take_instance(self, item):
-        entry = read_instance(item)
-        self._instances[entry.name] = entry
-        return StoredObject(item.key, item.version, asdict(entry))
+    def _hand_on(self, objects, source):
+        self.kernel.post('configuration', ObjectsArrived(objects, source))
 
     # The lease.
 
@@ -432,7 +350,7 @@
         domain = self.identity.failure_domain
         names = {
             entry.name
-            for entry in self._instances.values()
+            for entry in self.reader.instances.values()
             if entry.role == BALANCER_ROLE
             and entry.failure_domain == domain
             and entry.state == LIVE
@@ -459,7 +377,7 @@
     def _domains(self):
         return {
             entry.failure_domain
-            for entry in self._instances.values()
+            for entry in self.reader.instances.values()
             if entry.role == BALANCER_ROLE and entry.state == LIVE
         } | {self.identity.failure_domain}
 
--- /dev/null
+++ b/src/liftmount/_internal/store/reader.py
@@ -0,0 +1,138 @@
+"""Keeps up with what a store holds: lists, watches, deletions."""
+
+import logging
+
+from attrs import asdict
+
+from liftmount._internal.exceptions import ConfigurationError
+from liftmount._internal.exceptions import HistoryGoneError
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.feeds import StoredObject
+from liftmount._internal.models.objects import InstanceEntry
+from liftmount._internal.models.objects import ObjectKind
+from liftmount._internal.models.objects import SPREAD_KINDS
+from liftmount._internal.store.instances import read_instance
+from liftmount._internal.store.interface import ObjectStore
+
+LOG = logging.getLogger('liftmount.platform')
+# A watch that only asks for what is known by now.
+AT_ONCE_MS = 1
+FROM_STORE = 'the platform'
+FROM_LIST = 'the instance list'
+
+
+class ObjectReader:
+    """Reads objects that every balancer holds, and the instance list.
+
+    ``held()`` returns the objects that are held here by key, and
+    ``hand_on(objects, source)`` takes what is newer.  Each call raises
+    PlatformError.
+    """
+
+    def __init__(self, store: ObjectStore, held, hand_on):
+        self.instances: dict[str, InstanceEntry] = {}
+        self._store = store
+        self._held = held
+        self._hand_on = hand_on
+        self._revisions = {}
+        self._instance_revision = None
+
+    def may_watch(self, kind: str) -> bool:
+        """Tell whether a kind was listed, and its history is known."""
+        return kind in self._revisions
+
+    async def list_all(self) -> None:
+        """Read all objects; what is missing from a list is deleted."""
+        for kind in SPREAD_KINDS:
+            listing = await self._store.list(kind.value)
+            deleted = self._deleted(kind.value, listing)
+            objects = [*listing.items, *deleted]
+            self._take(kind.value, objects, listing.revision)
+
+    async def watch(self, kind: str, wait_ms: int) -> None:
+        """Wait for changes of a kind that was listed.
+
+        Raises HistoryGoneError when it has to be listed again.
+        """
+        try:
+            delta = await self._store.watch(
+                kind, self._revisions[kind], wait_ms
+            )
+        except HistoryGoneError:
+            del self._revisions[kind]
+            raise
+        objects = [*delta.written, *_removed(kind, delta)]
+        self._take(kind, objects, delta.revision)
+
+    def _take(self, kind, objects, revision):
+        """Hand on what is newer than what is held."""
+        self._revisions[kind] = max(revision, self._revisions.get(kind, 0))
+        held = self._held()
+        newer = [
+            item
+            for item in objects
+            if item.key not in held or item.version > held[item.key].version
+        ]
+        if newer:
+            self._hand_on(newer, FROM_STORE)
+
+    def _deleted(self, kind: str, listing: Listing) -> list[StoredObject]:
+        """Return deletions of what a whole list no longer has.
+
+        What is newer than the list was written since.
+        """
+        listed = {item.key for item in listing.items}
+        return [
+            StoredObject(item.key, listing.revision, None)
+            for item in self._held().values()
+            if item.kind == kind
+            and item.value is not None
+            and item.key not in listed
+            and item.version < listing.revision
+        ]
+
+    async def read_instances(self) -> None:
+        """Take over what changed in the instance list."""
+        kind = ObjectKind.INSTANCE.value
+        if self._instance_revision is None:
+            listing = await self._store.list(kind)
+            self.instances.clear()
+            self._take_instances(
+                listing.items, self._deleted(kind, listing), listing.revision
+            )
+            return
+        try:
+            delta = await self._store.watch(
+                kind, self._instance_revision, AT_ONCE_MS
+            )
+        except HistoryGoneError:
+            self._instance_revision = None
+            return
+        self._take_instances(
+            delta.written, _removed(kind, delta), delta.revision
+        )
+
+    def _take_instances(self, written, deleted, revision):
+        changed = list(deleted)
+        for item in deleted:
+            self.instances.pop(item.name, None)
+        for item in written:
+            try:
+                entry = read_instance(item)
+            except ConfigurationError as error:
+                # The others of the list count all the same.
+                LOG.warning('An instance is left out: %s.', error)
+                continue
+            self.instances[entry.name] = entry
+            changed.append(StoredObject(item.key, item.version, asdict(entry)))
+        self._instance_revision = revision
+        if changed:
+            self._hand_on(changed, FROM_LIST)
+
+
+def _removed(kind: str, delta: Delta) -> list[StoredObject]:
+    return [
+        StoredObject(f'{kind}/{name}', delta.revision, None)
+        for name in delta.removed
+    ]
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -9,11 +9,11 @@
 from behave import when
 
 from liftmount._internal.models.objects import FLOW_KEY_OBJECT
-from stand_ins.deployment import call
+from stand_ins.calls import call
+from stand_ins.calls import get_stored
+from stand_ins.calls import put_stored
+from stand_ins.calls import wait_for
 from stand_ins.deployment import Deployment
-from stand_ins.deployment import get_stored
-from stand_ins.deployment import put_stored
-from stand_ins.deployment import wait_for
 from stand_ins.plans import ALL_PLANS
 
 TEAM = 'firm-a'
--- a/tests/features/steps/product_steps.py
+++ b/tests/features/steps/product_steps.py
@@ -24,7 +24,7 @@
 from liftmount._internal.models.settings import Settings
 from liftmount._internal.models.settings import StatsdSettings
 from liftmount._internal.utils.counters import Counters
-from stand_ins.deployment import call
+from stand_ins.calls import call
 from stand_ins.deployment import PROGRAMS
 
 ROOT = Path(__file__).parents[3]
--- a/tests/features/steps/promise_steps.py
+++ b/tests/features/steps/promise_steps.py
@@ -23,10 +23,10 @@
 from liftmount._internal.network.udp import UdpSocket
 from liftmount.client import Client
 from stand_ins import workload
-from stand_ins.deployment import call
-from stand_ins.deployment import get_stored
-from stand_ins.deployment import put_stored
-from stand_ins.deployment import wait_for
+from stand_ins.calls import call
+from stand_ins.calls import get_stored
+from stand_ins.calls import put_stored
+from stand_ins.calls import wait_for
 from stand_ins.workload import Work
 
 STATUS_CONFLICT = 3
