--- /dev/null
+++ b/src/liftmount/_internal/decisions/flow_evidence.py
@@ -0,0 +1,63 @@
+"""What the segments of a flow tell of its target.
+
+Targets answer clients directly, so a balancer sees an answer only by what
+the client acknowledges, and silence by what it sends again.
+"""
+
+from liftmount._internal.decisions.flow_table import Flow
+from liftmount._internal.decisions.flow_table import ForwardingState
+from liftmount._internal.decisions.flow_table import note_work
+from liftmount._internal.decisions.target_health import TargetSeen
+from liftmount._internal.decisions.target_health import TargetSilent
+from liftmount._internal.models.segments import Segment
+
+# Segments sent again without progress before they speak against a target.
+# Targets acknowledge every second segment, so a request of one segment is
+# sent again whenever its answer takes longer than 200 ms.
+RESENDS_TO_DOUBT = 2
+# Sequence numbers are modulo 2**32; a difference above half is negative.
+SEQUENCE_MASK = 2**32 - 1
+HALF_SEQUENCE = 2**31
+
+
+def note_progress(
+    state: ForwardingState, segment: Segment, flow: Flow, now_ms: int
+) -> list:
+    """Gather evidence on a flow's target from one segment.
+
+    Returns a TargetSeen, a TargetSilent, or nothing.
+    """
+    if segment.acknowledgement != flow.acknowledged:
+        flow.acknowledged = segment.acknowledgement
+        flow.resends = 0
+        _note_far(state, flow, now_ms)
+        # An answer is on its way, or another request began.
+        note_work(state, flow, _is_new(segment, flow), now_ms)
+        return [TargetSeen(flow.target, now_ms)]
+    if not segment.length_bytes:
+        return []
+    if _is_new(segment, flow):
+        note_work(state, flow, True, now_ms)
+        return []
+    flow.resends += 1
+    if flow.resends < RESENDS_TO_DOUBT:
+        return []
+    return [TargetSilent(flow.target, now_ms)]
+
+
+def _note_far(state, flow, now_ms):
+    entry = state.tags.entries.get(flow.target)
+    if entry is not None and entry.failure_domain != state.failure_domain:
+        state.far_seen_ms = now_ms
+
+
+def _is_new(segment, flow):
+    """Tell whether a segment holds data for the first time; note it."""
+    if not segment.length_bytes:
+        return False
+    end = (segment.sequence + segment.length_bytes) & SEQUENCE_MASK
+    ahead = (end - flow.sent) & SEQUENCE_MASK
+    if not 0 < ahead < HALF_SEQUENCE:
+        return False
+    flow.sent = end
+    return True
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -7,6 +7,7 @@
 whose opening went to two targets, and gives evidence on targets.
 """
 
+from liftmount._internal.decisions.flow_evidence import note_progress
 from liftmount._internal.decisions.flow_table import close_flow
 from liftmount._internal.decisions.flow_table import end_flow
 from liftmount._internal.decisions.flow_table import Flow
@@ -37,10 +38,6 @@
 from liftmount._internal.models.segments import Segment
 from liftmount._internal.models.ticks import Tick
 
-# Segments sent again without progress before they speak against a target.
-# Targets acknowledge every second segment, so a request of one segment is
-# sent again whenever its answer takes longer than 200 ms.
-RESENDS_TO_DOUBT = 2
 # A request that shows no progress for this long counts no more.
 WORK_MS = 2_000
 # An opening that nothing followed for this long is sent to another target
@@ -61,9 +58,6 @@
 # Ticks come every 20 ms; a longer gap means that this balancer stood still
 # or was held up, and that the silence it missed says nothing.
 GAP_MS = 120
-# Sequence numbers are modulo 2**32; a difference above half is negative.
-SEQUENCE_MASK = 2**32 - 1
-HALF_SEQUENCE = 2**31
 
 
 def decide(state: ForwardingState, event) -> list:
@@ -247,7 +241,7 @@
     if entry is None:
         end_flow(state, flow, now_ms)
         return [*actions, _refuse(segment, RefusalReason.TARGET_GONE)]
-    actions += _note_progress(state, segment, flow, now_ms)
+    actions += note_progress(state, segment, flow, now_ms)
     flow.seen_ms = now_ms
     if segment.resets or segment.closes:
         close_flow(state, flow, now_ms)
@@ -284,44 +278,6 @@
     ]
 
 
-def _note_progress(state, segment, flow, now_ms):
-    """Gather evidence on the target from one segment."""
-    if segment.acknowledgement != flow.acknowledged:
-        flow.acknowledged = segment.acknowledgement
-        flow.resends = 0
-        _note_far(state, flow, now_ms)
-        # An answer is on its way, or another request began.
-        note_work(state, flow, _is_new(segment, flow), now_ms)
-        return [TargetSeen(flow.target, now_ms)]
-    if not segment.length_bytes:
-        return []
-    if _is_new(segment, flow):
-        note_work(state, flow, True, now_ms)
-        return []
-    flow.resends += 1
-    if flow.resends < RESENDS_TO_DOUBT:
-        return []
-    return [TargetSilent(flow.target, now_ms)]
-
-
-def _note_far(state, flow, now_ms):
-    entry = state.tags.entries.get(flow.target)
-    if entry is not None and entry.failure_domain != state.failure_domain:
-        state.far_seen_ms = now_ms
-
-
-def _is_new(segment, flow):
-    """Tell whether a segment holds data for the first time; note it."""
-    if not segment.length_bytes:
-        return False
-    end = (segment.sequence + segment.length_bytes) & SEQUENCE_MASK
-    ahead = (end - flow.sent) & SEQUENCE_MASK
-    if not 0 < ahead < HALF_SEQUENCE:
-        return False
-    flow.sent = end
-    return True
-
-
 # Segments that wait for knowledge.
 
 
