--- a/src/liftmount/_internal/commands/trace.py
+++ b/src/liftmount/_internal/commands/trace.py
@@ -37,7 +37,7 @@
 
 @frozen
 class LogLine:
-    """A line of a balancer's log; ``source`` names the file."""
+    """A line of a balancer's log; ``source`` is its path."""
 
     source: str
     at_ms: int
@@ -69,7 +69,7 @@
             try:
                 fields = json.loads(text)
                 line = LogLine(
-                    path.name,
+                    str(path),
                     int(fields['at_ms']),
                     str(fields['part']),
                     str(fields['event']),
