--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -106,9 +106,10 @@
 
 @message
 class Pull(Message):
-    """Get the whole knowledge of a peer."""
+    """Get what a peer knows; without ``wants_targets`` only its routes."""
 
     peer: str
+    wants_targets: bool = True
 
 
 @message
@@ -237,6 +238,7 @@
             state.routes_revision, beat.routes_revision
         )
     actions = []
+    is_gap = False
     if beat.targets_revision > state.targets_revision:
         if state.targets_revision >= beat.base:
             delta = Delta(
@@ -249,12 +251,12 @@
             state.targets_revision = beat.targets_revision
             actions.append(TakeOver(delta))
         else:
-            is_behind = True
-    if not is_behind:
+            is_gap = True
+    if not (is_behind or is_gap):
         confirmed_ms = now_ms - beat.age_ms
         state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
         return actions
-    return [*actions, *_pull(state, beat.sender, now_ms)]
+    return [*actions, *_pull(state, beat.sender, now_ms, is_gap)]
 
 
 def _unknown(state, now_ms):
@@ -267,11 +269,11 @@
     return [ReadNow()]
 
 
-def _pull(state, peer, now_ms):
+def _pull(state, peer, now_ms, wants_targets=True):
     if now_ms < state.next_pull_ms:
         return []
     state.next_pull_ms = now_ms + PULL_MS
-    return [Pull(peer)]
+    return [Pull(peer, wants_targets)]
 
 
 def _tick(state, now_ms):
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -45,6 +45,8 @@
 
 TICK_MS = 50
 KNOWLEDGE_PATH = '/knowledge/'
+# Who says that it knows this revision is told of no targets.
+LATEST_REVISION = 2**63 - 1
 MEMBERS_PATH = '/members/'
 # A configuration of hundreds of routes is some 10 KB when compressed; on
 # a link of 5 Mbit/s with eight askers that is 0.2 s.
@@ -321,8 +323,8 @@
                     self._send_beat(action)
                 case spreading.TakeOver(delta):
                     self.packets.post(FeedNews(TARGETS, delta))
-                case spreading.Pull(peer):
-                    self._pull(peer)
+                case spreading.Pull():
+                    self._pull(action)
                 case spreading.ReadNow():
                     self.kernel.post(TARGETS, following.Hurried())
                 case spreading.SetReading():
@@ -380,17 +382,17 @@
             event = spreading.PeerKnows(member.name, now_ms)
             self._execute(spreading.decide(self.spread, event))
 
-    def _pull(self, peer):
-        member = self.members.members.get(peer)
+    def _pull(self, action):
+        member = self.members.members.get(action.peer)
         if member is None:
             return
-        task = asyncio.create_task(self._fetch(member))
+        task = asyncio.create_task(self._fetch(member, action.wants_targets))
         self._pulls.add(task)
         task.add_done_callback(self._pulls.discard)
 
-    async def _fetch(self, member):
+    async def _fetch(self, member, wants_targets):
+        path = f'{KNOWLEDGE_PATH}{self._known_revisions(wants_targets)}'
         try:
-            path = f'{KNOWLEDGE_PATH}{self._known_revisions()}'
             data = await self._get(member.control, path)
             knowledge = decode_knowledge(data)
         except (HttpError, PacketError) as error:
@@ -401,11 +403,12 @@
             return
         self._take(member, knowledge)
 
-    def _known_revisions(self):
+    def _known_revisions(self, wants_targets):
         """Return what the packet path holds, as a pull says it."""
         table = self.packets.state.table
         version = table.version if table else 0
-        return f'{self.packets.directory.revision}/{version}'
+        revision = self.packets.directory.revision
+        return f'{revision if wants_targets else LATEST_REVISION}/{version}'
 
     def _take(self, member, knowledge):
         self.log.write(
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -223,7 +223,7 @@
         if table is not None and table.version <= version:
             table = None
         if revision and self.directory.revision <= revision:
-            return Knowledge((), revision, table, self.routes_revision)
+            return Knowledge((), 0, table, self.routes_revision)
         return Knowledge(
             targets=self.directory.listed(),
             targets_revision=self.directory.revision,
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -44,6 +44,12 @@
     Given a member that knows targets up to revision 10
     When beats of version 9 arrive 5 times within 100 ms
     Then it takes over 0 changes and pulls 1 times
+    And what it pulls is routes alone
+
+  Scenario: Targets are pulled when their changes have a gap
+    Given a member that knows targets up to revision 9
+    When a beat brings changes from revision 10 to 12
+    Then what it pulls is routes and targets
 
   Scenario Outline: A segment for an unknown target has news fetched at once
     Given a member of a domain whose order is <order>
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -178,6 +178,14 @@
     assert kinds.count(spreading.Pull) == pulls, context.actions
 
 
+@then('what it pulls is {what}')
+def what_is_pulled(context, what):
+    (pull,) = [
+        one for one in context.actions if isinstance(one, spreading.Pull)
+    ]
+    assert pull.wants_targets == (what == 'routes and targets'), pull
+
+
 class Domain:
     """Members of a domain, what they hold, and beats on their way."""
 
@@ -230,7 +238,8 @@
                 self.apply(receiver, one.delta)
             elif isinstance(one, spreading.Pull):
                 self.pulls += 1
-                self.copy(one.peer, receiver)
+                if one.wants_targets:
+                    self.copy(one.peer, receiver)
 
     def copy(self, source, receiver):
         """Let a member take over all that another one holds."""
