--- a/benches/path.py
+++ b/benches/path.py
@@ -26,7 +26,7 @@
 
 
 def sample(deployment):
-    """Return platform calls by client, and control bytes by balancer."""
+    """Return platform calls by address, and control bytes by balancer."""
     calls = call(deployment.platform, '/calls')
     control = {
         name: deployment.inspect(name)['data']['counters'].get(
@@ -43,10 +43,10 @@
     time.sleep(seconds)
     end_s, later_calls, later_control = sample(deployment)
     took_s = end_s - start_s
+    # The tool calls from other addresses.
     by_balancer = {
-        name: count - calls[name]
-        for name, count in later_calls.items()
-        if 'lm-' in name
+        ip: later_calls[ip] - calls[ip]
+        for _domain, ip in deployment.balancers.values()
     }
     rates = [
         (later_control[name] - control[name]) / took_s for name in control
