Say in each package what belongs there; name the soak's constants

Package docstrings said only that they are internal. The soak's constants carry their unit and where the figure comes from; a run that tells no outcome has one path. No code of the balancer changed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,8 +22,13 @@
 from soak.deployment import Size
 from soak.regressions import SEEDS
 
+# Fresh seeds are drawn from so many bits: none comes twice.
 FRESH_BITS = 32
+# A run takes 35 s, one with a hundred balancers two minutes.
 LIMIT_S = 300
+# The end of what a broken run wrote says why.
+CAUSE_CHARACTERS = 2_000
+BREACHES_SHOWN = 5
 
 
 def play(seed: int, size: Size) -> int:
@@ -55,11 +60,18 @@
         done = subprocess.run(
             command, capture_output=True, text=True, timeout=LIMIT_S
         )
+    except subprocess.TimeoutExpired as error:
+        return _broken(seed, repr(error))
+    try:
         return json.loads(done.stdout.splitlines()[-1])
-    except (subprocess.TimeoutExpired, ValueError, IndexError) as error:
-        cause = getattr(locals().get('done'), 'stderr', '') or repr(error)
-        breach = {'promise': 'the soak itself works', 'what': cause[-2_000:]}
-        return {'seed': seed, 'breaches': [breach], 'counts': {}}
+    except (ValueError, IndexError):
+        return _broken(seed, done.stderr[-CAUSE_CHARACTERS:])
+
+
+def _broken(seed, cause):
+    """Return the outcome of a run that told none itself."""
+    breach = {'promise': 'the soak itself works', 'what': cause}
+    return {'seed': seed, 'breaches': [breach], 'counts': {}}
 
 
 def report(outcome: dict) -> None:
@@ -75,7 +87,7 @@
         f'lag {outcome.get("lag_ms", 0)} ms',
         flush=True,
     )
-    for breach in outcome['breaches'][:5]:
+    for breach in outcome['breaches'][:BREACHES_SHOWN]:
         print(f'  {breach["promise"]}: {breach["what"]}', flush=True)
     if 'logs' in outcome:
         print(f'  logs: {outcome["logs"]}', flush=True)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -13,10 +13,14 @@
 from soak import transport
 from soak.transport import Packet
 
+# When a client sends its opening again, and gives up, as the platform's
+# clients do.
 OPENING_COPIES_MS = (200, 600)
 OPENING_MS = 1_400
+# Deadline and retries of the requests of the larger sites.
 DEADLINE_MS = 3_000
 RETRIES = 2
+# Ports of a client host; one is used again after minutes at the earliest.
 FIRST_PORT = 10_000
 LAST_PORT = 60_000
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,6 +7,7 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.network.udp import UdpSocket
 
+# Longer than a client waits before it sends again.
 DELAY_MS = 250
 CHUNK_BYTES = 65_536
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -17,6 +17,7 @@
 from soak.transport import Packet
 
 NUMBER_BYTES = 8
+# Requests at work and in the queue, as on the smallest site.
 SLOTS = 3
 QUEUE = 12
 # An end gives a flow up after this many resends without progress.
--- a/soak/transport.py
+++ b/soak/transport.py
@@ -16,13 +16,17 @@
 ACK = 128
 FIN = heads.FIN
 RST = heads.RST
+# Data of a packet, packets under way, and waits before they are sent
+# again, as the platform's clients and targets have them.
 DATA_BYTES = 1_200
 WINDOW = 16
 FIRST_RESEND_MS = 200
 LONGEST_RESEND_MS = 1_600
 MASK = 2**32 - 1
-# Offsets of what the sum of a head leaves out.
+# Where the sum of a head stands, where the tag, and the byte of no meaning.
 SUM = slice(26, 30)
+TAG = slice(22, 26)
+PAD = slice(31, 32)
 KEY = b'soak'
 
 
@@ -53,12 +57,14 @@
             0,
         )
         data = head + self.payload
-        return data[:26] + make_sum(data).to_bytes(4, 'little') + data[30:]
+        total = make_sum(data).to_bytes(4, 'little')
+        return data[: SUM.start] + total + data[SUM.stop :]
 
 
 def make_sum(datagram: bytes) -> int:
     """Return the sum over what nobody on the way may change."""
-    body = datagram[:22] + datagram[30:31] + datagram[32:]
+    flags = datagram[SUM.stop : PAD.start]
+    body = datagram[: TAG.start] + flags + datagram[PAD.stop :]
     return crc32(KEY + body) or 1
 
 
--- a/src/liftmount/_internal/cli/__init__.py
+++ b/src/liftmount/_internal/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Internal package; import from liftmount instead."""
+"""Entries of the programs, and what all commands share."""
--- a/src/liftmount/_internal/commands/__init__.py
+++ b/src/liftmount/_internal/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Internal package; import from liftmount instead."""
+"""Commands of the operators' tool: a module each, its docstring the help."""
--- a/src/liftmount/_internal/network/__init__.py
+++ b/src/liftmount/_internal/network/__init__.py
@@ -1,1 +1,1 @@
-"""Internal package; import from liftmount instead."""
+"""Sockets and frames: UDP, HTTP, what daemons, targets and callers say."""
--- a/src/liftmount/_internal/utils/__init__.py
+++ b/src/liftmount/_internal/utils/__init__.py
@@ -1,1 +1,1 @@
-"""Internal package; import from liftmount instead."""
+"""Small helpers without a part of their own: logs, counters, documents."""
