Ask for all that a peer knows when a tag is unknown

Cause, found by reading: targets that vanished from the store are told by no revision. A newcomer that had listed the store itself, and then met the tag of a target that was doubted or gone, asked its peer for newer targets only and was told of none; and if all of a peer's targets were doubted, none was taken over. Change: a pull says its scope: routes, newer targets, or all.

--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -7,6 +7,8 @@
 store grow with the domains, and no single balancer has to be up.
 """
 
+from enum import Enum
+
 from attrs import define
 from attrs import Factory
 
@@ -104,12 +106,24 @@
     delta: Delta
 
 
+class Scope(Enum):
+    """What a pull asks for.
+
+    ``NEWER`` leaves targets out if none are newer; ``ALL`` also brings
+    those that vanished from the store, which a revision does not tell.
+    """
+
+    ROUTES = 'routes'
+    NEWER = 'newer'
+    ALL = 'all'
+
+
 @message
 class Pull(Message):
-    """Get what a peer knows; without ``wants_targets`` only its routes."""
+    """Get what a peer knows."""
 
     peer: str
-    wants_targets: bool = True
+    scope: Scope
 
 
 @message
@@ -183,7 +197,7 @@
         case TargetUnknown():
             return _unknown(state, event.now_ms)
         case PeerKnows():
-            return _pull(state, event.peer, event.now_ms)
+            return _pull(state, event.peer, event.now_ms, Scope.ALL)
         case Tick():
             return _tick(state, event.now_ms)
     raise TypeError(f'unknown event {event!r}')
@@ -256,24 +270,25 @@
         confirmed_ms = now_ms - beat.age_ms
         state.confirmed_ms = max(state.confirmed_ms, confirmed_ms)
         return actions
-    return [*actions, *_pull(state, beat.sender, now_ms, is_gap)]
+    scope = Scope.NEWER if is_gap else Scope.ROUTES
+    return [*actions, *_pull(state, beat.sender, now_ms, scope)]
 
 
 def _unknown(state, now_ms):
     """Look for a target where news of it come first."""
     if not state.is_reading and state.order:
-        return _pull(state, state.order[0], now_ms)
+        return _pull(state, state.order[0], now_ms, Scope.ALL)
     if now_ms < state.next_pull_ms:
         return []
     state.next_pull_ms = now_ms + PULL_MS
     return [ReadNow()]
 
 
-def _pull(state, peer, now_ms, wants_targets=True):
+def _pull(state, peer, now_ms, scope):
     if now_ms < state.next_pull_ms:
         return []
     state.next_pull_ms = now_ms + PULL_MS
-    return [Pull(peer, wants_targets)]
+    return [Pull(peer, scope)]
 
 
 def _tick(state, now_ms):
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -386,12 +386,12 @@
         member = self.members.members.get(action.peer)
         if member is None:
             return
-        task = asyncio.create_task(self._fetch(member, action.wants_targets))
+        task = asyncio.create_task(self._fetch(member, action.scope))
         self._pulls.add(task)
         task.add_done_callback(self._pulls.discard)
 
-    async def _fetch(self, member, wants_targets):
-        path = f'{KNOWLEDGE_PATH}{self._known_revisions(wants_targets)}'
+    async def _fetch(self, member, scope):
+        path = f'{KNOWLEDGE_PATH}{self._known_revisions(scope)}'
         try:
             data = await self._get(member.control, path)
             knowledge = decode_knowledge(data)
@@ -403,12 +403,16 @@
             return
         self._take(member, knowledge)
 
-    def _known_revisions(self, wants_targets):
+    def _known_revisions(self, scope):
         """Return what the packet path holds, as a pull says it."""
         table = self.packets.state.table
         version = table.version if table else 0
-        revision = self.packets.directory.revision
-        return f'{revision if wants_targets else LATEST_REVISION}/{version}'
+        revisions = {
+            spreading.Scope.ROUTES: LATEST_REVISION,
+            spreading.Scope.NEWER: self.packets.directory.revision,
+            spreading.Scope.ALL: 0,
+        }
+        return f'{revisions[scope]}/{version}'
 
     def _take(self, member, knowledge):
         self.log.write(
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -202,7 +202,7 @@
             until_ms = now_ms + one.left_ms
             event = flows.FormerTarget(one.entry, until_ms)
             self._execute(forwarding.decide(self.state, event))
-        if known.targets:
+        if known.targets or known.doubted:
             event = directory.TargetsListed(
                 known.targets, known.targets_revision, now_ms, known.doubted
             )
--- a/tests/features/decisions/joining.feature
+++ b/tests/features/decisions/joining.feature
@@ -38,6 +38,12 @@
       | 5    | 2    | members, then seeds |
       | 0    | 2    | seeds            |
 
+  Scenario: A newcomer is told of targets when all of them are doubted
+    Given a balancer that knows targets up to revision 12 and routes of version 5
+    When all its targets vanish from the store
+    And a newcomer takes over what it is told
+    Then the newcomer knows 2 targets
+
   Scenario Outline: A peer tells what somebody does not know yet
     Given a balancer that knows targets up to revision 12 and routes of version 5
     When somebody asks who knows revision <revision> and version <version>
--- a/tests/features/steps/joining_steps.py
+++ b/tests/features/steps/joining_steps.py
@@ -195,9 +195,8 @@
             raise AssertionError(whom)
 
 
-@given('a balancer that knows targets up to revision {revision:d} and routes '
-       'of version {version:d}')  # fmt: skip
-def knowing_balancer(context, revision, version):
+def make_packets():
+    """Return the packet service of a balancer that knows nothing."""
     here = Endpoint('127.0.0.1', 1)
     options = EntrySettings(
         name='lm-1',
@@ -213,13 +212,39 @@
     )
     kernel = Kernel(ManualClock(START_MS))
     log = StructuredLog(kernel.clock)
-    context.packets = PacketService(kernel, None, options, log, Metrics())
+    return PacketService(kernel, None, options, log, Metrics())
+
+
+@given('a balancer that knows targets up to revision {revision:d} and routes '
+       'of version {version:d}')  # fmt: skip
+def knowing_balancer(context, revision, version):
+    context.packets = make_packets()
     entries = (make_entry('one', 'guide'), make_entry('two', 'guide'))
     table = RouteTable(version, {}, {}, 15_000)
     context.packets.handle(FeedNews(TARGETS, Listing(entries, revision)))
     context.packets.handle(FeedNews(ROUTES, Listing((table,), 3)))
 
 
+@when('all its targets vanish from the store')
+def targets_vanish(context):
+    listing = Listing((), context.packets.directory.revision + 1)
+    context.packets.handle(FeedNews(TARGETS, listing))
+
+
+@when('a newcomer takes over what it is told')
+def newcomer_takes_over(context):
+    context.newcomer = make_packets()
+    data = wire.encode_knowledge(context.packets.knowledge())
+    context.newcomer.handle(wire.decode_knowledge(data))
+
+
+@then('the newcomer knows {count:d} targets')
+def newcomer_knows(context, count):
+    entries = context.newcomer.state.tags.entries
+    assert len(entries) == count, entries
+    assert context.newcomer.why_not_ready() == ''
+
+
 @when('somebody asks who knows revision {revision:d} and version {version:d}')
 def somebody_asks(context, revision, version):
     known = context.packets.knowledge(revision, version)
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -128,7 +128,8 @@
 def asks_once(context, whom):
     wanted = spreading.ReadNow()
     if whom.startswith('member '):
-        wanted = spreading.Pull(whom.removeprefix('member '))
+        peer = whom.removeprefix('member ')
+        wanted = spreading.Pull(peer, spreading.Scope.ALL)
     assert context.actions == [wanted], context.actions
 
 
@@ -188,7 +189,11 @@
     (pull,) = [
         one for one in context.actions if isinstance(one, spreading.Pull)
     ]
-    assert pull.wants_targets == (what == 'routes and targets'), pull
+    scopes = {
+        'routes alone': spreading.Scope.ROUTES,
+        'routes and targets': spreading.Scope.NEWER,
+    }
+    assert pull.scope is scopes[what], pull
 
 
 class Domain:
@@ -243,7 +248,7 @@
                 self.apply(receiver, one.delta)
             elif isinstance(one, spreading.Pull):
                 self.pulls += 1
-                if one.wants_targets:
+                if one.scope is not spreading.Scope.ROUTES:
                     self.copy(one.peer, receiver)
 
     def copy(self, source, receiver):
