--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 import secrets
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -29,10 +30,14 @@
 # The end of what a broken run wrote says why.
 CAUSE_CHARACTERS = 2_000
 BREACHES_SHOWN = 5
+# What a shell reports of a program that SIGTERM has ended.
+STATUS_ENDED = 143
 
 
 def play(seed: int, size: Size) -> int:
     """Play one seed in this process; print its outcome as a JSON line."""
+    # A soak that is told to end still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(STATUS_ENDED))
     directory = Path(tempfile.mkdtemp(prefix='liftmount-soak-'))
     outcome = asyncio.run(run.play(seed, size, directory))
     document = {
