--- a/stand_ins/store.py
+++ b/stand_ins/store.py
@@ -15,6 +15,7 @@
 import json
 import sys
 import threading
+from weakref import WeakSet
 
 from aiohttp import web
 from attrs import define
@@ -91,6 +92,8 @@
         self.faults = Faults()
         self.calls = Counter()
         self.watching = Counter()
+        self._transports = WeakSet()
+        self._silent = WeakSet()
         self._changed = asyncio.Condition()
         self._tasks = set()
 
@@ -120,13 +123,18 @@
         if request.headers.get('User-Agent') != USER_AGENT:
             return await handler(request)
         self.calls[request.remote] += 1
+        self._transports.add(request.transport)
         is_cut = self.faults.down or request.remote in self.faults.blocked
         if is_cut or self.trouble == 'resets connections':
             request.transport.abort()
             raise ConnectionResetError
         if self.faults.delay_ms:
             await asyncio.sleep(self.faults.delay_ms / 1_000)
-        return await self._trouble(request, handler)
+        transport = request.transport
+        answer = await self._trouble(request, handler)
+        if transport in self._silent:
+            await asyncio.sleep(LOST_S)
+        return answer
 
     async def _trouble(self, request, handler):
         """Answer as the trouble has it."""
@@ -149,6 +157,10 @@
             raise ConnectionResetError
         return answer
 
+    def silence(self) -> None:
+        """Never answer again on the connections that are open now."""
+        self._silent |= self._transports
+
     # Changes.
 
     async def write(self, kind: str, name: str, spec) -> Stored:
--- a/tests/features/platform/process.feature
+++ b/tests/features/platform/process.feature
@@ -45,6 +45,13 @@
       | forgets its history    |
       | sends broken documents |
 
+  Scenario: Open connections to the store fall silent, and a change still arrives
+    Given 3 balancers in domain a that are ready
+    When 3000 ms go by
+    And the open connections to the store fall silent
+    And the configuration version 9 leads 127.0.1.2:8443 to guide
+    Then all balancers hold version 9 within 4500 ms
+
   Scenario: A planned stop forwards until the fabric has moved on
     Given a balancer in domain a that is ready
     When it gets SIGTERM while the fabric asks for readiness twice a second
--- a/tests/features/steps/process_steps.py
+++ b/tests/features/steps/process_steps.py
@@ -351,6 +351,14 @@
     assert wait_until(held, limit / 1_000)
 
 
+@when('the open connections to the store fall silent')
+def connections_silent(context):
+    async def silence():
+        context.store.store.silence()
+
+    context.store.call(silence())
+
+
 @then('one balancer alone reads the store')
 def one_reads(context):
     def watchers():
