--- a/benches/__main__.py
+++ b/benches/__main__.py
@@ -12,6 +12,7 @@
     'start',
     'silence',
     'ablation',
+    'losses',
 )
 
 
--- /dev/null
+++ b/benches/losses.py
@@ -0,0 +1,95 @@
+"""Where the worth of played days was lost: a table from their reports.
+
+A report is what the users' bench writes for one day.  For each window in
+which worth was lost the table names what went on then; sums follow by what
+went on, and by price.  What struck last before a window counts as its
+cause, but for planned work, which counts only when nothing else went on.
+"""
+
+import argparse
+from collections import Counter
+import json
+from pathlib import Path
+
+from attrs import frozen
+
+WINDOW_S = 2.0
+# How much longer than its end something is felt: clients' last retries.
+FELT_S = 2.0
+# Share of a window's worth below which a loss is not shown.
+LEAST_LOSS = 0.005
+UNKNOWN = 'nothing known'
+
+
+@frozen
+class Loss:
+    """A window in which worth was lost, as a share of what it could earn."""
+
+    from_s: float
+    asked: int
+    late: int
+    unserved: int
+    share: float
+    cause: str
+
+
+def find_cause(events: list[dict], from_s: float) -> str:
+    """Return what went on in a window, unplanned things first."""
+    found = [
+        one
+        for one in events
+        if one['at_s'] < from_s + WINDOW_S and from_s < one['to_s'] + FELT_S
+    ]
+    if not found:
+        return UNKNOWN
+    last = max(found, key=lambda one: (not one['planned'], one['at_s']))
+    return last['kind']
+
+
+def read_losses(report: dict) -> list[Loss]:
+    """Return the losses that a report tells, in the order of time."""
+    losses = []
+    for window in report['windows']:
+        share = 1.0 - window['worth']
+        if share < LEAST_LOSS:
+            continue
+        from_s = float(window['name'])
+        unserved = window['refused'] + window['failed']
+        cause = find_cause(report['events'], from_s)
+        losses.append(
+            Loss(from_s, window['n'], window['late'], unserved, share, cause)
+        )
+    return losses
+
+
+def print_report(path: Path, sums: Counter) -> None:
+    """Print the table of one day; add to the sums by cause."""
+    report = json.loads(path.read_text())
+    total = sum(window['n'] for window in report['windows'])
+    print(f'{path.name}: worth {report["G"]:.3f}')
+    print(f'{"from s":>8} {"asked":>6} {"late":>5} {"lost":>5} of day  cause')
+    for one in read_losses(report):
+        of_day = one.share * one.asked / total
+        sums[one.cause] += of_day
+        print(
+            f'{one.from_s:8.0f} {one.asked:6} {one.late:5} '
+            f'{one.unserved:5} {of_day:.4f}  {one.cause}'
+        )
+    for name, _amount, price in report['prices']:
+        if price >= 0.0005:
+            print(f'{"price":>8} {"":18} {price:.4f}  {name}')
+            sums[f'price: {name}'] += price
+
+
+def main(arguments) -> int:
+    """Print a table for each report, and the means over all."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('reports', nargs='+', type=Path)
+    options = parser.parse_args(arguments)
+    sums = Counter()
+    for path in options.reports:
+        print_report(path, sums)
+    print(f'means over {len(options.reports)} days, share of a day')
+    for cause, share in sums.most_common():
+        print(f'{share / len(options.reports):8.4f}  {cause}')
+    return 0
