Let services that tick share one base; serve the stand-ins' controls once

Cause: four services repeated the same task group and loop, two stand-ins the same server and argument parser. Change: TickingService in the kernel, stand_ins/serving.py. The first tick comes a tick after the start in all of them.

--- a/src/liftmount/_internal/kernel.py
+++ b/src/liftmount/_internal/kernel.py
@@ -14,6 +14,7 @@
 from attrs import Factory
 
 from liftmount._internal.clock import Clock
+from liftmount._internal.clock import seconds
 from liftmount._internal.exceptions import ServiceNotFoundError
 
 LOG = logging.getLogger('liftmount.kernel')
@@ -59,6 +60,32 @@
         """Close sockets; called once at the end."""
 
 
+class TickingService(Service):
+    """A service that also lets time pass; subclasses define ``tick``."""
+
+    tick_ms = 0
+
+    def tick(self) -> None:
+        """Let time pass; called each ``tick_ms``."""
+        raise NotImplementedError
+
+    def tasks(self) -> list:
+        """Return what runs beside the handling of messages."""
+        return [self._tick_forever()]
+
+    async def run(self) -> None:
+        """Handle messages and let time pass until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(super().run())
+            for task in self.tasks():
+                group.create_task(task)
+
+    async def _tick_forever(self):
+        while True:
+            await asyncio.sleep(seconds(self.tick_ms))
+            self.tick()
+
+
 @define
 class Kernel:
     """Registry of services and of streams, and their life cycle."""
--- a/src/liftmount/_internal/services/data.py
+++ b/src/liftmount/_internal/services/data.py
@@ -1,13 +1,11 @@
 """The data path: packets of callers, and the flows at home here."""
 
-import asyncio
 from functools import lru_cache
 import logging
 import secrets
 
 from attrs import evolve
 
-from liftmount._internal.clock import seconds
 from liftmount._internal.decisions import requests
 from liftmount._internal.decisions import routing
 from liftmount._internal.decisions import streams
@@ -19,7 +17,7 @@
 from liftmount._internal.decisions.token import seal_token
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.exceptions import TokenError
-from liftmount._internal.kernel import Service
+from liftmount._internal.kernel import TickingService
 from liftmount._internal.models import actions as act
 from liftmount._internal.models import events
 from liftmount._internal.models.addresses import Endpoint
@@ -68,10 +66,11 @@
     return Endpoint(ip, port)
 
 
-class DataService(Service):
+class DataService(TickingService):
     """Owns the socket to the fabric, routing state and home state."""
 
     name = 'data'
+    tick_ms = TICK_MS
 
     def __init__(self, kernel, settings, identity, counters):
         super().__init__(kernel)
@@ -104,18 +103,8 @@
         if self.fabric is not None:
             self.fabric.close()
 
-    async def run(self):
-        """Handle messages and let time pass."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(super().run())
-            group.create_task(self._tick_forever())
-
-    async def _tick_forever(self):
-        while True:
-            await asyncio.sleep(seconds(TICK_MS))
-            self._tick()
-
-    def _tick(self):
+    def tick(self):
+        """Let time pass."""
         now_ms = self.clock.now_ms()
         self._execute(requests.decide(self.home, Tick(now_ms)))
         self._execute(streams.expire(self.home, now_ms))
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -13,7 +13,7 @@
 from liftmount._internal.decisions.relay import relay_order
 from liftmount._internal.exceptions import HttpError
 from liftmount._internal.exceptions import PacketError
-from liftmount._internal.kernel import Service
+from liftmount._internal.kernel import TickingService
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.envelopes import decode_peer
 from liftmount._internal.models.feeds import DomainMembers
@@ -70,13 +70,14 @@
     spread: float
 
 
-class GroupService(Service):
+class GroupService(TickingService):
     """Owns the sockets between balancers, membership and the relay.
 
     ``packets`` takes knowledge over, ``feeds`` read the store.
     """
 
     name = 'group'
+    tick_ms = TICK_MS
 
     def __init__(self, kernel, options, packets, feeds, log, counters):
         super().__init__(kernel)
@@ -126,12 +127,9 @@
         if self.socket is not None:
             self.socket.close()
 
-    async def run(self):
-        """Handle messages and let time pass."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(super().run())
-            group.create_task(self._tick_forever())
-            group.create_task(self._join())
+    def tasks(self):
+        """Learn of the others besides."""
+        return [*super().tasks(), self._join()]
 
     async def _join(self):
         """Learn of the others in a few turns."""
@@ -176,12 +174,11 @@
             connection.close()
         return answer.body
 
-    async def _tick_forever(self):
-        while True:
-            tick = Tick(self.clock.now_ms())
-            self._execute(membership.decide(self.members, tick))
-            self._execute(spreading.decide(self.spread, tick))
-            await asyncio.sleep(seconds(TICK_MS))
+    def tick(self):
+        """Let time pass."""
+        tick = Tick(self.clock.now_ms())
+        self._execute(membership.decide(self.members, tick))
+        self._execute(spreading.decide(self.spread, tick))
 
     def _on_datagram(self, data, source):
         now_ms = self.clock.now_ms()
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from liftmount._internal.clock import seconds
-from liftmount._internal.kernel import Service
+from liftmount._internal.kernel import TickingService
 from liftmount._internal.models.feeds import DomainMembers
 from liftmount._internal.models.feeds import FeedFailed
 from liftmount._internal.models.feeds import FeedNews
@@ -14,10 +13,11 @@
 from liftmount._internal.services.probes import probe
 
 
-class PacketService(Service):
+class PacketService(TickingService):
     """Reads packets, lets time pass, probes targets, takes over news."""
 
     name = 'packets'
+    tick_ms = TICK_MS
 
     def __init__(self, kernel, path: PacketPath):
         super().__init__(kernel)
@@ -36,17 +36,10 @@
         loop.remove_reader(self.path.socket.fileno())
         self.path.socket.close()
 
-    async def run(self):
-        """Handle messages and let time pass."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(super().run())
-            group.create_task(self._tick_forever())
-
-    async def _tick_forever(self):
-        while True:
-            await asyncio.sleep(seconds(TICK_MS))
-            self.path.tick()
-            self._start_probes()
+    def tick(self):
+        """Let time pass."""
+        self.path.tick()
+        self._start_probes()
 
     def _on_readable(self):
         self.path.read()
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -1,12 +1,10 @@
 """Other balancers: membership, and packets passed between balancers."""
 
-import asyncio
 import logging
 
-from liftmount._internal.clock import seconds
 from liftmount._internal.decisions import membership
 from liftmount._internal.exceptions import PacketError
-from liftmount._internal.kernel import Service
+from liftmount._internal.kernel import TickingService
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.envelopes import decode_peer
 from liftmount._internal.models.envelopes import encode_peer
@@ -31,10 +29,11 @@
 FAREWELLS = 3
 
 
-class PeerService(Service):
+class PeerService(TickingService):
     """Owns the socket between balancers and the membership state."""
 
     name = 'peers'
+    tick_ms = TICK_MS
 
     def __init__(self, kernel, settings, identity, counters):
         super().__init__(kernel)
@@ -79,16 +78,9 @@
         if self.socket is not None:
             self.socket.close()
 
-    async def run(self):
-        """Handle messages and let time pass."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(super().run())
-            group.create_task(self._tick_forever())
-
-    async def _tick_forever(self):
-        while True:
-            self._execute(self._decide(Tick(self.clock.now_ms())))
-            await asyncio.sleep(seconds(TICK_MS))
+    def tick(self):
+        """Let time pass."""
+        self._execute(self._decide(Tick(self.clock.now_ms())))
 
     def _decide(self, event):
         return membership.decide(self.state, event)
--- a/stand_ins/fabric.py
+++ b/stand_ins/fabric.py
@@ -6,9 +6,7 @@
 and faults (loss, duplication, delay, reordering).
 """
 
-import argparse
 import asyncio
-import json
 import random
 
 from aiohttp import web
@@ -21,6 +19,8 @@
 from liftmount._internal.models.envelopes import encode_fabric
 from liftmount._internal.models.envelopes import FabricEnvelope
 from liftmount._internal.network.udp import UdpSocket
+from stand_ins.serving import run_program
+from stand_ins.serving import serve_control
 
 
 @define
@@ -124,27 +124,8 @@
     fabric.way_back = await UdpSocket.bind(
         parse_endpoint(options.way_back), fabric.outward
     )
-    app = web.Application()
-    app.add_routes([web.post('/set', fabric.set)])
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    control = parse_endpoint(options.control)
-    await web.TCPSite(runner, control.ip, control.port).start()
-    print(json.dumps({'ready': 'fabric'}), flush=True)
-    await asyncio.Event().wait()
-
-
-def main():
-    """Run the stand-in."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--control', required=True, metavar='IP:PORT')
-    parser.add_argument('--way-back', required=True, metavar='IP:PORT')
-    parser.add_argument('--seed', type=int, default=1)
-    try:
-        asyncio.run(serve(parser.parse_args()))
-    except KeyboardInterrupt:
-        pass
+    await serve_control('fabric', options.control, fabric.set)
 
 
 if __name__ == '__main__':
-    main()
+    run_program(__doc__, {'--way-back': 'IP:PORT'}, serve)
--- a/stand_ins/links.py
+++ b/stand_ins/links.py
@@ -5,7 +5,6 @@
 off from each other, and faults of datagrams.
 """
 
-import argparse
 import asyncio
 import json
 from pathlib import Path
@@ -18,6 +17,8 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.network.udp import UdpSocket
+from stand_ins.serving import run_program
+from stand_ins.serving import serve_control
 
 CHUNK_BYTES = 65_536
 
@@ -140,33 +141,14 @@
         await writer.drain()
 
 
-async def run(options):
+async def serve(options):
     """Serve until cancelled."""
     document = json.loads(Path(options.plan).read_text())
     links = Links(document['groups'], options.seed)
     for one in document['links']:
         await links.add(LinkPlan(**one))
-    app = web.Application()
-    app.add_routes([web.post('/set', links.set)])
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    control = parse_endpoint(options.control)
-    await web.TCPSite(runner, control.ip, control.port).start()
-    print(json.dumps({'ready': 'links'}), flush=True)
-    await asyncio.Event().wait()
-
-
-def main():
-    """Run the proxy."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--control', required=True, metavar='IP:PORT')
-    parser.add_argument('--plan', required=True, metavar='FILE')
-    parser.add_argument('--seed', type=int, default=1)
-    try:
-        asyncio.run(run(parser.parse_args()))
-    except KeyboardInterrupt:
-        pass
+    await serve_control('links', options.control, links.set)
 
 
 if __name__ == '__main__':
-    main()
+    run_program(__doc__, {'--plan': 'FILE'}, serve)
