Test the tables that measurements print

Cause: the ablation and the tables of losses and silences decide what is kept, and nothing saw them go wrong.

--- /dev/null
+++ b/tests/features/steps/measurements_steps.py
@@ -0,0 +1,76 @@
+"""Steps on the tables that measurements print."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from benches.ablation import MECHANISMS
+from benches.ablation import ROOT
+from benches.ablation import SOURCE
+from benches.losses import find_cause
+from benches.silence import Table
+
+WINDOW_FROM_S = 10.0
+CONTROL = 'nothing'
+
+
+@then('each mechanism stands once in its file, and switching it off changes '
+      'it')  # fmt: skip
+def mechanisms_found(_context):
+    for one in MECHANISMS:
+        if one.name == CONTROL:
+            continue
+        text = (ROOT / SOURCE / one.file).read_text()
+        assert text.count(one.old) == 1, one.name
+        assert one.new != one.old, one.name
+
+
+@when('a window from 10 s on loses worth while this goes on: {events}')
+def window_loses(context, events):
+    found = []
+    for text in events.split(', '):
+        words = text.split()
+        is_planned = words[0] == 'planned'
+        kind, from_s, _to, to_s = words[is_planned:]
+        found.append(
+            {
+                'kind': kind,
+                'at_s': float(from_s),
+                'to_s': float(to_s),
+                'planned': is_planned,
+            }
+        )
+    context.cause = find_cause(found, WINDOW_FROM_S)
+
+
+@then('its cause is {cause}')
+def cause_is(context, cause):
+    assert context.cause == cause, context.cause
+
+
+@given('these lines of logs')
+def lines_of_logs(context):
+    context.silence_table = Table()
+    for row in context.table:
+        line = {
+            'at_ms': int(row['at_ms']),
+            'event': row['event'],
+            'target': row['target'],
+        }
+        line.update(pair.split('=') for pair in row['more'].split())
+        context.silence_table.add(line)
+
+
+@then('the silences are one after {first:d} and {second:d} ms with {resets:d} '
+      'resets, and one after {third:d} ms with {none:d} resets')  # fmt: skip
+def silences_are(context, first, second, resets, third, none):
+    found = [
+        ([at - one.doubted_ms for at in one.judged_ms], one.resets)
+        for one in context.silence_table.silences
+    ]
+    assert found == [([first, second], resets), ([third], none)], found
+
+
+@then('{count:d} doubt was dispelled')
+def doubts_dispelled(context, count):
+    assert context.silence_table.dispelled == count
