Take a list to be as old as its oldest page

Cause: a list in pages was held to be as new as its last page; pages that may lag can be seconds apart, and what changed between them in an earlier page would never have been watched for. Change: ListPages serves both readers of lists, and keeps the lowest revision; the watch from there brings again what changed. Tests: 'A list is as old as its oldest page', three rows. Random documents are read where the functions stand now.

--- a/src/liftmount/platform/documents.py
+++ b/src/liftmount/platform/documents.py
@@ -2,6 +2,9 @@
 
 import json
 
+from attrs import define
+from attrs import Factory
+
 from liftmount._internal.exceptions import PlatformError
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
@@ -97,8 +100,32 @@
     return StoredObject(f'{kind}/{name}', version, document.get('spec'))
 
 
-def next_page(page: dict, listing: Listing) -> str:
-    """Return after which name a list goes on; empty at its end."""
-    if not page.get('more_pages') or not listing.items:
-        return ''
-    return listing.items[-1].name
+@define
+class ListPages:
+    """The pages of a list that have come so far.
+
+    ``revision`` is that of the oldest page.  What changed between two pages
+    is watched for from there on; the newest page's would skip it, and pages
+    that may lag can be seconds apart.
+    """
+
+    kind: str
+    items: list = Factory(list)
+    revision: int | None = None
+
+    def add(self, page: dict) -> str:
+        """Add a page; return after which name to go on, empty at the end.
+
+        Raises PlatformError.
+        """
+        listing = read_list(self.kind, page)
+        self.items += listing.items
+        if self.revision is None or listing.revision < self.revision:
+            self.revision = listing.revision
+        if not page.get('more_pages') or not listing.items:
+            return ''
+        return listing.items[-1].name
+
+    def listing(self) -> Listing:
+        """Return the list."""
+        return Listing(tuple(self.items), self.revision)
--- a/src/liftmount/platform/first_lists.py
+++ b/src/liftmount/platform/first_lists.py
@@ -17,9 +17,8 @@
 from liftmount._internal.utils.raw_sockets import make_socket
 from liftmount._internal.utils.raw_sockets import SOCK_STREAM
 from liftmount.platform.documents import list_path
-from liftmount.platform.documents import next_page
+from liftmount.platform.documents import ListPages
 from liftmount.platform.documents import read_document
-from liftmount.platform.documents import read_list
 from liftmount.platform.feeds import decode_all
 
 
@@ -35,7 +34,7 @@
         self._kind = kind
         self._read = read
         self._report = report
-        self._items = []
+        self._pages = ListPages(kind)
         self._after = ''
         self.is_asked = False
         self.socket = make_socket(SOCK_STREAM)
@@ -78,10 +77,10 @@
         if status != HTTP_OK:
             raise PlatformError(f'{self._path}: status {status}')
         page = read_document(self._path, bytes(self._message.body))
-        listing = read_list(self._kind, page)
-        self._items += decode_all(listing.items, self._read, self._report)
-        self._after = next_page(page, listing)
+        self._after = self._pages.add(page)
         if self._after:
             self._ask()
             return None
-        return Listing(tuple(self._items), listing.revision)
+        stored = self._pages.listing()
+        items = decode_all(stored.items, self._read, self._report)
+        return Listing(items, stored.revision)
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -19,11 +19,10 @@
 from liftmount._internal.network.http_messages import HTTP_SERVER_ERROR
 from liftmount._internal.network.http_messages import HTTP_TOO_MANY_REQUESTS
 from liftmount.platform.documents import list_path
-from liftmount.platform.documents import next_page
+from liftmount.platform.documents import ListPages
 from liftmount.platform.documents import object_path
 from liftmount.platform.documents import read_changes
 from liftmount.platform.documents import read_document
-from liftmount.platform.documents import read_list
 from liftmount.platform.documents import read_object
 
 # Limit of one call; the store answers in 4 ms, in 400 ms when it is slow.
@@ -80,16 +79,14 @@
         timeout_ms: float | None = None,
     ) -> Listing:
         """Return all StoredObjects of a kind; each page may take so long."""
-        items = []
+        pages = ListPages(kind)
         after = ''
         while True:
             path = list_path(kind, after, may_lag)
             page = await self._read(path, timeout_ms)
-            listing = read_list(kind, page)
-            items += listing.items
-            after = next_page(page, listing)
+            after = pages.add(page)
             if not after:
-                return Listing(tuple(items), listing.revision)
+                return pages.listing()
 
     async def watch(
         self,
--- a/tests/features/platform/adapter.feature
+++ b/tests/features/platform/adapter.feature
@@ -54,6 +54,16 @@
       | limits.idle_timeout_ms = soon     | refused for limits.idle_timeout_ms     |
       | surprise = 3                      | read with 2 routes in version 7        |
 
+  Scenario Outline: A list is as old as its oldest page
+    When a list comes in pages of the revisions <revisions>
+    Then it holds what is in all of them, as of revision <revision>
+
+    Examples:
+      | revisions | revision |
+      | 7         | 7        |
+      | 7, 9      | 7        |
+      | 9, 7, 8   | 7        |
+
   Scenario Outline: Whatever the store holds, it is read or refused
     When <count> random documents are read as entries, routes and answers
     Then each was read or refused with an error of the project
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -19,10 +19,10 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
+from liftmount.platform import documents
 from liftmount.platform import heads
 from liftmount.platform import objects
 from liftmount.platform import settings
-from liftmount.platform import store
 from tests.features.steps.forwarding_steps import make_entry
 
 PAYLOAD = b'payload'
@@ -85,6 +85,30 @@
 }
 
 
+@when('a list comes in pages of the revisions {revisions}')
+def list_in_pages(context, revisions):
+    context.pages = documents.ListPages('servers')
+    found = [int(one) for one in revisions.split(', ')]
+    context.names = [f'one-{number:x}' for number in range(len(found))]
+    for number, revision in enumerate(found):
+        item = {'meta': {'name': context.names[number]}, 'spec': ENTRY}
+        page = {
+            'items': [item],
+            'more_pages': number + 1 < len(found),
+            'current_rev': revision,
+        }
+        after = context.pages.add(page)
+        is_last = number + 1 == len(found)
+        assert after == ('' if is_last else context.names[number])
+
+
+@then('it holds what is in all of them, as of revision {revision:d}')
+def list_as_of(context, revision):
+    listing = context.pages.listing()
+    assert listing.revision == revision, listing.revision
+    assert [one.name for one in listing.items] == context.names
+
+
 @when('a packet with known fields is read')
 def read_packet(context):
     context.segment = heads.read(HEAD + PAYLOAD)
@@ -272,8 +296,8 @@
             context.seen.append(read_or_error(read, 'i-1', document))
         page = page if type(page) is dict else {}
         kind = objects.TARGET_KIND
-        context.seen.append(read_or_error(store.read_list, kind, page))
-        context.seen.append(read_or_error(store.read_changes, kind, page, 0))
+        context.seen.append(read_or_error(documents.read_list, kind, page))
+        context.seen.append(read_or_error(documents.read_changes, kind, page, 0))
 
     check()
 
