--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -297,7 +297,9 @@
         page = page if type(page) is dict else {}
         kind = objects.TARGET_KIND
         context.seen.append(read_or_error(documents.read_list, kind, page))
-        context.seen.append(read_or_error(documents.read_changes, kind, page, 0))
+        context.seen.append(
+            read_or_error(documents.read_changes, kind, page, 0)
+        )
 
     check()
 
