--- a/bundling/plain_classes.py
+++ b/bundling/plain_classes.py
@@ -1,4 +1,4 @@
-"""Writes classes of attrs out as plain ones, and enumerations too.
+"""Writes classes of attrs out as plain ones.
 
 The result behaves as the source does but for two things that the source's
 own tests see to: frozen classes aren't protected against changes, and
