Build in one place; leave a module that is never loaded out of the archive

Found on reading the change again. The benches' and the tests' own builds repeated bundling's build(); the early steps repeated a configuration of the adapter's steps; plain_classes told a decorator's name twice; the archive held ssl, which a balancer blocks. No behaviour changes.

--- a/benches/start.py
+++ b/benches/start.py
@@ -17,9 +17,8 @@
 import attrs
 from attrs import frozen
 
-from bundling.__main__ import copy_plain
+from bundling.__main__ import build as build_program
 from bundling.archive import ENTRIES
-from bundling.archive import write_archive
 from liftmount.platform.launcher import DEPENDENCIES
 from liftmount.platform.launcher import PROGRAM
 
@@ -68,10 +67,8 @@
     """Build the deployed form; return it."""
     packages = Path(attrs.__file__).parents[1]
     (target / DEPENDENCIES).symlink_to(packages)
-    program = target / PROGRAM
-    copy_plain(program, packages)
-    write_archive(program, packages)
-    launcher = program / 'liftmount/platform/launcher.py'
+    build_program(target)
+    launcher = target / PROGRAM / 'liftmount/platform/launcher.py'
     prelude = PREPARE.format(launcher=str(launcher), target=str(target))
     return Form('deployed', prelude, str(packages))
 
--- a/bundling/archive.py
+++ b/bundling/archive.py
@@ -29,7 +29,8 @@
 from importlib import import_module
 for name in sys.argv[1:]:
     import_module(name)
-print('\\n'.join(sorted(set(sys.modules) - brought)))
+loaded = {name for name, module in sys.modules.items() if module}
+print('\\n'.join(sorted(loaded - brought)))
 """
 # Docstrings and assertions are for those who read the source.
 OPTIMIZE = 2
--- a/bundling/plain_classes.py
+++ b/bundling/plain_classes.py
@@ -108,12 +108,17 @@
 def _decorator(node):
     """Return the decorator of attrs that a class has."""
     for one in node.decorator_list:
-        found = one.func if isinstance(one, ast.Call) else one
-        if _name(found) in DECORATORS:
+        if _decorator_name(one) in DECORATORS:
             return one
     return None
 
 
+def _decorator_name(decorator):
+    if isinstance(decorator, ast.Call):
+        return _name(decorator.func)
+    return _name(decorator)
+
+
 def _options(decorator):
     """Return the keywords that a decorator is called with."""
     if not isinstance(decorator, ast.Call):
@@ -124,8 +129,7 @@
 def _plain_class(node, where):
     decorator = _decorator(node)
     options = _options(decorator)
-    found = decorator.func if isinstance(decorator, ast.Call) else decorator
-    kind = _name(found)
+    kind = _decorator_name(decorator)
     has_own = kind != 'message'
     unknown = set(options) - {'eq', 'repr'}
     if unknown or len(node.decorator_list) > 1:
--- a/tests/features/steps/bundling_steps.py
+++ b/tests/features/steps/bundling_steps.py
@@ -12,8 +12,7 @@
 from behave import then
 from behave import when
 
-from bundling.__main__ import copy_plain
-from bundling.archive import write_archive
+from bundling.__main__ import build
 from bundling.plain_classes import UnsupportedClassError
 from bundling.plain_classes import write_out
 from liftmount.platform.launcher import ARCHIVE
@@ -194,9 +193,7 @@
     for package in ('attr', 'attrs', 'cbor2', 'httptools'):
         place = Path(attrs.__file__).parents[1] / package
         (dependencies / package).symlink_to(place)
-    program = target / PROGRAM
-    copy_plain(program, dependencies)
-    write_archive(program, dependencies)
+    build(target)
     context.target = target
 
 
--- a/tests/features/steps/early_steps.py
+++ b/tests/features/steps/early_steps.py
@@ -21,6 +21,7 @@
 from liftmount.platform.launcher import bind_early
 from stand_ins.addresses import make_run_addresses
 from stand_ins.store import StoreThread
+from tests.features.steps.adapter_steps import CONFIGURATION
 from tests.features.steps.adapter_steps import ENTRY
 from tests.features.steps.adapter_steps import HEAD_VALUES
 
@@ -33,23 +34,6 @@
 SYN = 2
 
 
-def make_configuration():
-    """Return a configuration with a route that fits HEAD_VALUES."""
-    route = {
-        'name': 'one',
-        'host': '198.51.100.1',
-        'path_prefix': '/8443/',
-        'type': 'idempotent',
-        'backend': 'guide',
-    }
-    return {
-        'version': 7,
-        'routes': [route],
-        'backends': [{'name': 'guide', 'health_check_path': '/health'}],
-        'limits': {'idle_timeout_ms': 15_000},
-    }
-
-
 def endpoint(context, group, port):
     """Return an address of this run."""
     run = context.run
@@ -66,7 +50,7 @@
     for number in range(count):
         spec = {**ENTRY, 'address': place}
         context.store.write('servers', f'one-{number:04x}', spec)
-    context.store.write('config', 'main', make_configuration())
+    context.store.write('config', 'main', CONFIGURATION)
     context.count = count
 
 
