Derive freshness from the bound in which changes have to be in force

Cause: watches of 2.8 s and a limit of 4.3 s held everywhere, though changes have 6 s on the large fleet; and a watch began anew after the pause that a change brings and after a long transfer, so that a change was followed by 6 s without proof and all members of a domain read the store.

Change: freshness_times(bound); a watch ends a fixed time after the last proof. Ruled out: watches of 4.8 s, which leave no time to read when a root has lost the store.

--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -4,22 +4,42 @@
 changes.  Each call costs, an answered watch too, so changes are collected
 for a moment before the next watch.  No answer is never taken for "nothing
 has changed": the same watch is asked again.
+
+Proofs of freshness are most calls of a fleet in which nothing happens, so
+they come as seldom as the time allows in which a change has to be in force
+on every balancer.
 """
 
 from attrs import define
+from attrs import Factory
 
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
 
-# A change that comes this soon after another waits for the next watch; the
-# bounds for draining targets and configurations start at 3,000 ms.
-COLLECT_MS = 700
-# A watch waits this long for a change.  A change hidden by a connection
-# that fell silent is found after at most this time and the margin, within
-# the 4,000 ms in which an instance is not yet held to its bounds.
-WATCH_MS = 2_800
+# The shortest and the longest time from a change to when it has to be in
+# force that is told apart.
+LEAST_BOUND_MS = 3_000
+MOST_BOUND_MS = 15_000
+# What is left of the bound when a member that hears old beats begins to read
+# the store itself: beginning is spread over 0.4 s, and a call takes 0.3 s
+# when the store is slow.
+READ_MARGIN_MS = 1_000
+# A reader's watch proves freshness when it ends; its answer may be 700 ms
+# late, and a beat takes up to 400 ms to get to each level of the tree.
+PROOF_MARGIN_MS = 1_500
+# Reading by oneself ends only when beats are clearly fresher.
+FRESH_MARGIN_MS = 600
+LEAST_STALE_MS = 4_300
+# Three beats in a row are missing: the parent is gone, or the way to it.
+LEAST_SILENT_MS = 1_300
+SILENT_SHARE = 1 / 3
+# A change that comes soon after another one waits for the next watch.
+COLLECT_SHARE = 7 / 30
 # The first watch after a pause or a failure asks for what is known by now.
 AT_ONCE_MS = 1
+# No watch is shorter, however long the last answer took to arrive: on a slow
+# link calls would follow each other without a pause.
+LEAST_WATCH_MS = 500
 # How much later than its wait the answer of a watch may come.
 WATCH_MARGIN_MS = 700
 # How soon a page of a list has to begin to arrive: it does in 4 ms when the
@@ -38,6 +58,36 @@
 SETTLE_MS = 2_000
 
 
+@message
+class FreshnessTimes(Message):
+    """Limits in milliseconds.
+
+    A watch waits for ``watch_ms``; after a change the next one begins
+    ``collect_ms`` later.  A member reads the store itself when it has heard
+    no beat for ``silent_ms``, or only knowledge older than ``stale_ms``,
+    until beats bring knowledge no older than ``fresh_ms``.
+    """
+
+    watch_ms: int
+    collect_ms: int
+    silent_ms: int
+    stale_ms: int
+    fresh_ms: int
+
+
+def freshness_times(bound_ms: int = LEAST_BOUND_MS) -> FreshnessTimes:
+    """Return the limits for a time from a change to its being in force."""
+    bound_ms = min(max(bound_ms, LEAST_BOUND_MS), MOST_BOUND_MS)
+    stale_ms = max(LEAST_STALE_MS, bound_ms - READ_MARGIN_MS)
+    return FreshnessTimes(
+        watch_ms=stale_ms - PROOF_MARGIN_MS,
+        collect_ms=round(bound_ms * COLLECT_SHARE),
+        silent_ms=max(LEAST_SILENT_MS, round(bound_ms * SILENT_SHARE)),
+        stale_ms=stale_ms,
+        fresh_ms=stale_ms - FRESH_MARGIN_MS,
+    )
+
+
 @message
 class Started(Message):
     """Begin to follow."""
@@ -71,10 +121,14 @@
 
 @message
 class Changed(Message):
-    """A watch was answered; ``count`` objects changed up to ``revision``."""
+    """A watch was answered; ``count`` objects changed up to ``revision``.
+
+    The answer took ``lasted_ms`` to arrive.
+    """
 
     revision: int
     count: int
+    lasted_ms: int = 0
 
 
 @message
@@ -133,7 +187,7 @@
 
     after_ms: float
     revision: int
-    wait_ms: int = WATCH_MS
+    wait_ms: int
 
 
 @message
@@ -162,6 +216,7 @@
     failures: int = 0
     must_list: bool = True
     jitter: float = 0.5
+    times: FreshnessTimes = Factory(freshness_times)
     is_calling: bool = False
     is_resting: bool = False
 
@@ -250,12 +305,12 @@
             state.must_list = False
             # A list that lags must not bring changes back that are known.
             state.revision = max(state.revision or 0, event.revision)
-            return [*actions, Watch(0, state.revision)]
+            return [*actions, _watch(state, 0)]
         case Changed():
             actions = _answered(state)
             state.revision = max(state.revision, event.revision)
-            pause_ms = COLLECT_MS if event.count else 0
-            return [*actions, Watch(pause_ms, state.revision)]
+            pause_ms = state.times.collect_ms if event.count else 0
+            return [*actions, _watch(state, pause_ms, event.lasted_ms)]
         case HistoryGone():
             state.must_list = True
             return [*_answered(state), List(0, may_lag=False)]
@@ -264,6 +319,20 @@
     raise TypeError(f'unknown event {event!r}')
 
 
+def _watch(state, pause_ms, lasted_ms=0):
+    """Return a watch that ends a fixed time after the last proof.
+
+    The proof is as old as the beginning of the last answer.  With a whole
+    wait after the pause, each change was followed by 6 s without a proof,
+    and all members of a domain began to read the store.
+    """
+    left_ms = state.times.watch_ms - pause_ms - lasted_ms
+    # A change hidden by a connection that fell silent is found after the
+    # wait and the margin, while no instance is held to its bounds yet.
+    wait_ms = max(LEAST_WATCH_MS, left_ms)
+    return Watch(pause_ms, state.revision, wait_ms)
+
+
 def _answered(state):
     if not state.failures:
         return []
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -12,6 +12,8 @@
 from attrs import define
 from attrs import Factory
 
+from liftmount._internal.decisions.following import freshness_times
+from liftmount._internal.decisions.following import FreshnessTimes
 from liftmount._internal.decisions.relay import FANOUT
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
@@ -26,15 +28,6 @@
 # Beats come this often; a beat is some 60 bytes, to eight children 1.2 KB
 # a second with all overhead.
 BEAT_MS = 400
-# Three beats in a row are missing: the parent is gone, or the way to it.
-SILENT_MS = 1_300
-# Knowledge that the store confirmed longer ago than this is too old.  A
-# reader's watch confirms it every 3,500 ms at the latest; the shortest
-# time from a change to its bound, with the time in which an instance that
-# was cut off is not yet held to it, is 7,000 ms.
-STALE_MS = 4_300
-# Reading ends only when beats are clearly fresher than that.
-FRESH_MS = 3_700
 # Members start to read spread over this time, as all miss the same beat.
 SPREAD_MS = 400
 # Until a newcomer has heard who else is there it takes itself for the root.
@@ -154,6 +147,7 @@
     name: str
     started_ms: int
     spread: float = 0.5
+    times: FreshnessTimes = Factory(freshness_times)
     order: tuple[str, ...] = ()
     is_reading: bool = True
     heard_ms: int = 0
@@ -319,21 +313,21 @@
         return False, 'started of late'
     if state.is_root:
         return True, 'root'
-    if not knows_all and now_ms - state.heard_ms > SILENT_MS:
+    if not knows_all and now_ms - state.heard_ms > state.times.silent_ms:
         # Who hears beats is fed as soon as the root knows.
         return True, 'nothing known'
-    if now_ms - state.started_ms < STALE_MS:
+    if now_ms - state.started_ms < state.times.stale_ms:
         # What it read at its start is fresh enough, and the others may
         # still be learning who is there.
         return False, 'started of late'
     pause_ms = state.spread * SPREAD_MS
-    if now_ms - state.heard_ms > SILENT_MS + pause_ms:
+    if now_ms - state.heard_ms > state.times.silent_ms + pause_ms:
         return True, 'no beat'
     age_ms = now_ms - state.known_as_of_ms()
-    if age_ms > STALE_MS + pause_ms:
+    if age_ms > state.times.stale_ms + pause_ms:
         return True, 'old beats'
     beat_age_ms = now_ms - state.confirmed_ms
-    if state.is_reading and beat_age_ms > FRESH_MS:
+    if state.is_reading and beat_age_ms > state.times.fresh_ms:
         return True, 'old beats'
     return False, 'fresh beats'
 
--- a/src/liftmount/_internal/models/entry_settings.py
+++ b/src/liftmount/_internal/models/entry_settings.py
@@ -13,7 +13,8 @@
     ``peer`` is for other balancers, over UDP and TCP; ``seeds`` are such
     addresses of a few of them.  ``metrics`` serves counters.  A flow older
     than ``flow_max_age_ms`` may be forgotten; a planned stop may take
-    ``stop_ms``.
+    ``stop_ms``.  A change of routes or targets has to be in force
+    ``change_bound_ms`` after the store took it.
     """
 
     name: str
@@ -26,3 +27,4 @@
     seeds: tuple[Endpoint, ...]
     flow_max_age_ms: int
     stop_ms: int
+    change_bound_ms: int
--- a/src/liftmount/_internal/services/entry.py
+++ b/src/liftmount/_internal/services/entry.py
@@ -12,6 +12,7 @@
 from attrs import frozen
 
 from liftmount._internal.clock import seconds
+from liftmount._internal.decisions.following import freshness_times
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.kernel import Kernel
 from liftmount._internal.services.early import EarlyBalancer
@@ -119,6 +120,7 @@
                 [PacketService.name],
                 self.log,
                 _spread(settings.name),
+                freshness_times(settings.change_bound_ms),
                 self.early.revisions.get(name),
                 self.early.begun.pop(name, None),
             )
@@ -149,6 +151,7 @@
             peer=settings.peer,
             seeds=settings.seeds,
             spread=_spread(settings.name),
+            times=freshness_times(settings.change_bound_ms),
         )
         feeds = [
             one
--- a/src/liftmount/_internal/services/feeds.py
+++ b/src/liftmount/_internal/services/feeds.py
@@ -9,7 +9,7 @@
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.feeds import FeedFailed
 from liftmount._internal.models.feeds import FeedNews
-from liftmount._internal.network.waiting import wait_for_socket
+from liftmount._internal.network.http import wait_for_socket
 
 
 class FeedService(Service):
@@ -18,7 +18,8 @@
     ``feed`` has ``fetch(may_lag, timeout_ms)`` and ``watch(revision,
     wait_ms, timeout_ms)``, which raise PlatformError.  ``revision`` is
     given if the listeners know a list already, ``begun`` if one is under
-    way; it has ``socket``, ``is_asked`` and ``advance()``.
+    way; it has ``socket``, ``is_asked`` and ``advance()``.  ``times`` are
+    FreshnessTimes.
     """
 
     def __init__(
@@ -29,6 +30,7 @@
         listeners,
         log,
         jitter,
+        times,
         revision=None,
         begun=None,
     ):
@@ -37,7 +39,7 @@
         self.feed = feed
         self.listeners = listeners
         self.log = log
-        self.state = following.FollowState(jitter=jitter)
+        self.state = following.FollowState(jitter=jitter, times=times)
         self._first = following.Started()
         if revision is not None:
             self._first = following.Known(revision)
@@ -166,7 +168,7 @@
         )
         self._post(FeedNews(self.name, delta))
         count = len(delta.written) + len(delta.removed)
-        return following.Changed(delta.revision, count)
+        return following.Changed(delta.revision, count, delta.age_ms)
 
     def _post(self, message):
         for listener in self.listeners:
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -10,6 +10,7 @@
 from liftmount._internal.decisions import joining
 from liftmount._internal.decisions import membership
 from liftmount._internal.decisions import spreading
+from liftmount._internal.decisions.following import FreshnessTimes
 from liftmount._internal.decisions.relay import relay_order
 from liftmount._internal.exceptions import HttpError
 from liftmount._internal.exceptions import PacketError
@@ -69,6 +70,7 @@
     peer: Endpoint
     seeds: tuple[Endpoint, ...]
     spread: float
+    times: FreshnessTimes
 
 
 class GroupService(TickingService):
@@ -91,7 +93,10 @@
         self.socket = None
         self.members = None
         self.spread = spreading.SpreadState(
-            options.name, self.clock.now_ms(), options.spread
+            options.name,
+            self.clock.now_ms(),
+            options.spread,
+            options.times,
         )
         self._server = HttpServer(self._answer)
         self._failures = 0
--- a/src/liftmount/platform/settings.py
+++ b/src/liftmount/platform/settings.py
@@ -18,6 +18,8 @@
 MS_PER_S = 1_000
 # The port that deploy/system.toml names; the settings hold none for it.
 METRICS_PORT = 9102
+# Where the file names no bound for changes: the tightest one in use.
+CHANGE_BOUND_MS = 3_000
 
 
 def load_settings(path: str) -> EntrySettings:
@@ -66,4 +68,8 @@
         seeds=tuple(seeds),
         flow_max_age_ms=bounds.number('max_flow_s') * MS_PER_S,
         stop_ms=bounds.number('grace_s') * MS_PER_S,
+        change_bound_ms=min(
+            bounds.number(name, CHANGE_BOUND_MS)
+            for name in ('drain_ms', 'config_ms')
+        ),
     )
--- a/tests/features/decisions/beliefs.feature
+++ b/tests/features/decisions/beliefs.feature
@@ -121,6 +121,25 @@
       | start, listed 10, failed, changed 11 by 0  | watch from 11 at once      |
       | start, listed 10, failed, changed 11 by 1  | watch from 11 after 700 ms |
 
+  Scenario Outline: Each watch ends in time to prove freshness
+    Given changes have to be in force within <bound_ms> ms
+    When a watch ends with <count> changes after a transfer of <lasted_ms> ms
+    Then the next watch begins after <pause_ms> ms and waits <wait_ms> ms
+    And members are told in time, whenever the next watch ends
+
+    Examples:
+      | bound_ms | count | lasted_ms | pause_ms | wait_ms |
+      | 3000     | 0     | 0         | 0        | 2800    |
+      | 3000     | 1     | 0         | 700      | 2100    |
+      | 3000     | 1     | 1050      | 700      | 1050    |
+      | 5000     | 0     | 0         | 0        | 2800    |
+      | 6000     | 0     | 0         | 0        | 3500    |
+      | 6000     | 1     | 0         | 1400     | 2100    |
+      | 6000     | 1     | 1050      | 1400     | 1050    |
+      | 15000    | 1     | 0         | 3500     | 9000    |
+      | 90000    | 0     | 0         | 0        | 12500   |
+      | 1000     | 0     | 0         | 0        | 2800    |
+
   Scenario Outline: Trouble with the store is said once, and its end
     When calls end in this order: <events>
     Then the store was lost <lost> times and regained <regained> times
--- a/tests/features/steps/beliefs_steps.py
+++ b/tests/features/steps/beliefs_steps.py
@@ -6,6 +6,7 @@
 
 from liftmount._internal.decisions import directory
 from liftmount._internal.decisions import following
+from liftmount._internal.decisions import spreading
 from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.decisions.target_health import ProbeResult
@@ -206,6 +207,33 @@
     assert f'{what} {when_text}' == call, f'{what} {when_text}'
 
 
+@given('changes have to be in force within {bound:d} ms')
+def changes_within(context, bound):
+    context.times = following.freshness_times(bound)
+
+
+@when('a watch ends with {count:d} changes after a transfer of {lasted:d} ms')
+def watch_ends(context, count, lasted):
+    state = following.FollowState(times=context.times)
+    following.decide(state, following.Listed(10))
+    event = following.Changed(12, count, lasted)
+    (context.call,) = following.decide(state, event)
+    context.lasted_ms = lasted
+
+
+@then('the next watch begins after {pause:d} ms and waits {wait:d} ms')
+def next_watch(context, pause, wait):
+    assert context.call == following.Watch(pause, 12, wait), context.call
+
+
+@then('members are told in time, whenever the next watch ends')
+def told_in_time(context):
+    call = context.call
+    proof_ms = context.lasted_ms + call.after_ms + call.wait_ms
+    levels_ms = 2 * spreading.BEAT_MS
+    assert proof_ms + levels_ms < context.times.stale_ms, proof_ms
+
+
 @then('the store was lost {lost:d} times and regained {regained:d} times')
 def lost_and_regained(context, lost, regained):
     kinds = [type(one) for one in context.reports]
--- a/tests/features/steps/early_steps.py
+++ b/tests/features/steps/early_steps.py
@@ -68,6 +68,7 @@
         seeds=(),
         flow_max_age_ms=60_000,
         stop_ms=6_000,
+        change_bound_ms=3_000,
     )
 
 
--- a/tests/features/steps/transfer_steps.py
+++ b/tests/features/steps/transfer_steps.py
@@ -10,6 +10,7 @@
 from liftmount._internal.clock import Clock
 from liftmount._internal.decisions import following
 from liftmount._internal.decisions import spreading
+from liftmount._internal.decisions.following import freshness_times
 from liftmount._internal.exceptions import PlatformError
 from liftmount._internal.kernel import Kernel
 from liftmount._internal.models.feeds import Listing
@@ -187,6 +188,7 @@
         [listener.name],
         context.early.log,
         0.5,
+        freshness_times(),
         begun=context.early.begun.pop(ROUTES),
     )
     task = asyncio.create_task(service.run())
@@ -285,7 +287,9 @@
     kernel.register(listener)
     feed = SlowFeed()
     log = StructuredLog(kernel.clock)
-    service = FeedService(kernel, ROUTES, feed, [listener.name], log, 0.5)
+    service = FeedService(
+        kernel, ROUTES, feed, [listener.name], log, 0.5, freshness_times()
+    )
     task = asyncio.create_task(service.run())
     while not feed.calls:
         await asyncio.sleep(0.01)
