Let the member that has run for longest read for its domain

Cause: the order of the relay tree was by name, so that in a roll each restart of an early name took the root over, and every position in the tree changed with it.

--- a/src/liftmount/_internal/decisions/relay.py
+++ b/src/liftmount/_internal/decisions/relay.py
@@ -16,14 +16,21 @@
 def relay_order(members: list[Member]) -> list[str]:
     """Return the members of one domain, the root first.
 
-    Those that reach the platform and do not leave come first, by name.
+    Those that reach the platform and do not leave come first; of these the
+    one that has run for longest.  By name alone each restart of an early
+    name took the root over, when the others are restarted in turn too.
     """
     present = [one for one in members if one.reachable]
     return [
         one.name
         for one in sorted(
             present,
-            key=lambda one: (one.leaving, not one.has_platform, one.name),
+            key=lambda one: (
+                one.leaving,
+                not one.has_platform,
+                one.incarnation,
+                one.name,
+            ),
         )
     ]
 
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -93,6 +93,21 @@
     And no member sent more than 8 beats a round
     And no beat was larger than 1200 bytes
 
+  Scenario Outline: Whoever has run for longest reads for its domain
+    Given members a, b, c and d, which have started in this order
+    When members change: <events>
+    Then the relay order is <order>
+
+    Examples:
+      | events                                          | order      |
+      | none                                            | a, b, c, d |
+      | a restarts                                      | b, c, d, a |
+      | a restarts, b restarts                          | c, d, a, b |
+      | a leaves                                        | b, c, d, a |
+      | b loses the store                               | a, c, d, b |
+      | b loses the store, b finds the store            | a, b, c, d |
+      | a loses the store, d leaves                     | b, c, a, d |
+
   Scenario: A lost beat costs nothing
     Given a domain of 9 members that all know revision 10
     When the root reads a change to revision 12
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -10,6 +10,7 @@
 from liftmount._internal.decisions import membership
 from liftmount._internal.decisions import spreading
 from liftmount._internal.decisions.relay import FANOUT
+from liftmount._internal.decisions.relay import relay_order
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.models import knowledge as wire
 from liftmount._internal.models.addresses import Endpoint
@@ -19,6 +20,7 @@
 from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.members import Member
+from liftmount._internal.models.records import changed
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteKind
 from liftmount._internal.models.segments import RouteTable
@@ -281,6 +283,46 @@
     context.domain.read(context.domain.names[0], delta)
 
 
+@given('members a, b, c and d, which have started in this order')
+def four_members(context):
+    peer = Endpoint('127.0.0.1', 1)
+    context.members = {
+        name: Member(name, 'domain', peer, peer, incarnation)
+        for incarnation, name in enumerate('abcd', START_MS)
+    }
+
+
+ORDER_CHANGES = {
+    'leaves': {'leaving': True},
+    'loses the store': {'has_platform': False},
+    'finds the store': {'has_platform': True},
+}
+
+
+@when('members change: {events}')
+def members_change(context, events):
+    for part in events.split(', '):
+        change_member(context, part)
+
+
+def change_member(context, text):
+    """Let something happen to one member."""
+    name, _blank, event = text.partition(' ')
+    if name == 'none':
+        return
+    changes = ORDER_CHANGES.get(event)
+    if changes is None:
+        newest = max(one.incarnation for one in context.members.values())
+        changes = {'incarnation': newest + 1}
+    context.members[name] = changed(context.members[name], **changes)
+
+
+@then('the relay order is {order}')
+def relay_order_is(context, order):
+    found = relay_order(list(context.members.values()))
+    assert found == order.split(', '), found
+
+
 @when('the first round of beats is lost')
 def round_lost(context):
     context.domain.round(is_lost=lambda sender, receiver: True)
