Pull once at a time from a peer

Cause: whoever was behind began another pull each 300 ms, however long the first one took; at the target's size (550 KB) and on a link of 5 Mbit/s three to four copies would have shared the link. Found by reading; a test with beats over 4 s began 10 pulls before, 1 now.

--- a/benches/domain_start.py
+++ b/benches/domain_start.py
@@ -295,9 +295,14 @@
 
     def _pull(self, member, peer):
         if not peer.is_complete:
+            self._spread(member, spreading.PullEnded(peer.name))
             return
 
+        def ended():
+            self._spread(member, spreading.PullEnded(peer.name))
+
         def done():
+            ended()
             self._know(member, FEEDS)
             self._note(member)
             for feed in FEEDS:
@@ -308,7 +313,7 @@
             self.case.told_bytes(),
             self.now_ms + ROUND_TRIP_MS,
             done,
-            lambda: None,
+            ended,
         )
         member.transfers['pull'] = transfer
 
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -39,6 +39,10 @@
 MAX_CHANGES = 10
 # Pause between two attempts to get the whole knowledge of a peer.
 PULL_MS = 300
+# Pulls at the same time, each from another peer: the second one is for the
+# case that the first peer has died.  Whole knowledge of 27,000 targets takes
+# seconds on a link of 5 Mbit/s, and each further copy would slow all down.
+MAX_PULLS = 2
 
 
 @message
@@ -74,6 +78,13 @@
     routes_version: int
 
 
+@message
+class PullEnded(Message):
+    """What a peer knows has come, or can't be had."""
+
+    peer: str
+
+
 @message
 class PeerKnows(Message):
     """A peer of any domain holds another version, and we know little."""
@@ -142,6 +153,7 @@
 
     ``confirmed_ms`` is when the store last confirmed what is held, as
     told by beats; ``read_ms`` the same of our own calls, by feed.
+    ``pulled_from`` names the peers from which knowledge is under way.
     """
 
     name: str
@@ -160,6 +172,7 @@
     changes: list[_Change] = Factory(list)
     next_beat_ms: int = 0
     next_pull_ms: int = 0
+    pulled_from: set[str] = Factory(set)
 
     @property
     def is_root(self) -> bool:
@@ -191,6 +204,9 @@
             return _answered(state, event)
         case BeatArrived():
             return _beat(state, event.beat, event.now_ms)
+        case PullEnded():
+            state.pulled_from.discard(event.peer)
+            return []
         case TargetUnknown():
             return _unknown(state, event.now_ms)
         case PeerKnows():
@@ -283,9 +299,11 @@
 
 
 def _pull(state, peer, now_ms, scope):
-    if now_ms < state.next_pull_ms:
+    is_busy = len(state.pulled_from) >= MAX_PULLS
+    if now_ms < state.next_pull_ms or peer in state.pulled_from or is_busy:
         return []
     state.next_pull_ms = now_ms + PULL_MS
+    state.pulled_from.add(peer)
     return [Pull(peer, scope)]
 
 
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -405,23 +405,33 @@
     def _pull(self, action):
         member = self.members.members.get(action.peer)
         if member is None:
+            event = spreading.PullEnded(action.peer)
+            self._execute(spreading.decide(self.spread, event))
             return
         task = asyncio.create_task(self._fetch(member, action.scope))
         self._pulls.add(task)
         task.add_done_callback(self._pulls.discard)
 
     async def _fetch(self, member, scope):
+        try:
+            knowledge = await self._ask_for_knowledge(member, scope)
+        finally:
+            event = spreading.PullEnded(member.name)
+            self._execute(spreading.decide(self.spread, event))
+        if knowledge is not None:
+            self._take(member, knowledge)
+
+    async def _ask_for_knowledge(self, member, scope):
+        """Return what a member knows, None if it can't be had."""
         path = f'{KNOWLEDGE_PATH}{self._known_revisions(scope)}'
         try:
-            data = await self._get(member.control, path)
-            knowledge = decode_knowledge(data)
+            return decode_knowledge(await self._get(member.control, path))
         except (HttpError, PacketError) as error:
             self.counters.count('retried.pull_failed')
             self.log.write(
                 self.name, 'pull_failed', peer=member.name, cause=str(error)
             )
-            return
-        self._take(member, knowledge)
+        return None
 
     def _known_revisions(self, scope):
         """Return what the packet path holds, as a pull says it."""
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -64,6 +64,18 @@
     Then it takes over 0 changes and pulls 1 times
     And what it pulls is routes alone
 
+  Scenario Outline: What takes long to come is not pulled again meanwhile
+    Given a member that knows targets up to revision 10
+    When beats of version 9 arrive from <senders> for <span> ms, and <pulls_end>
+    Then it pulls <times> times
+
+    Examples:
+      | senders     | span | pulls_end               | times |
+      | b           | 4000 | no pull ends            | 1     |
+      | b and c     | 4000 | no pull ends            | 2     |
+      | b, c and d  | 4000 | no pull ends            | 2     |
+      | b           | 4000 | each pull fails at once | 10    |
+
   Scenario: Targets are pulled when their changes have a gap
     Given a member that knows targets up to revision 9
     When a beat brings changes from revision 10 to 12
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -189,6 +189,28 @@
         context.actions += spreading.decide(context.state, event)
 
 
+@when('beats of version {version:d} arrive from {senders} for {span:d} ms, '
+      'and {what}')  # fmt: skip
+def beats_while_pulling(context, version, senders, span, what):
+    context.actions = []
+    for now_ms in range(START_MS, START_MS + span, BEAT_EVERY_MS):
+        for sender in senders.replace(' and ', ', ').split(', '):
+            beat = make_beat(sender=sender, version=version)
+            event = spreading.BeatArrived(beat, now_ms)
+            found = spreading.decide(context.state, event)
+            context.actions += found
+            if what == 'each pull fails at once':
+                for one in found:
+                    ended = spreading.PullEnded(one.peer)
+                    spreading.decide(context.state, ended)
+
+
+@then('it pulls {pulls:d} times')
+def pulled_times(context, pulls):
+    kinds = [type(one) for one in context.actions]
+    assert kinds.count(spreading.Pull) == pulls, context.actions
+
+
 @then('it takes over {taken:d} changes and pulls {pulls:d} times')
 def taken_and_pulled(context, taken, pulls):
     kinds = [type(one) for one in context.actions]
@@ -260,6 +282,7 @@
                 self.apply(receiver, one.delta)
             elif isinstance(one, spreading.Pull):
                 self.pulls += 1
+                spreading.decide(state, spreading.PullEnded(one.peer))
                 if one.scope is not spreading.Scope.ROUTES:
                     self.copy(one.peer, receiver)
 
