Let members near the root read first when beats are old

Cause: when a store was silent, all members below a root began to read it within 0.4 s. Those near the root tell the others if they reach it, so that the next level begins 0.6 s later. Replayed with 9, 40 and 386 members: 8 begin where all did, if the store answers.

--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -30,6 +30,10 @@
 BEAT_MS = 400
 # Members start to read spread over this time, as all miss the same beat.
 SPREAD_MS = 400
+# Members further down the tree begin this much later for each level: those
+# above them tell them by then, if they reach the store.  When a store was
+# silent for 5 s, all 39 members of a domain below its root began to read.
+LEVEL_MS = 600
 # Until a newcomer has heard who else is there it takes itself for the root.
 # Of 40 members that start at once and know all, each made two calls for it.
 SETTLE_MS = 1_500
@@ -186,6 +190,17 @@
         first = self.order.index(self.name) * FANOUT + 1
         return self.order[first : first + FANOUT]
 
+    def depth(self) -> int:
+        """Return how many members are between this one and the root."""
+        if self.name not in self.order:
+            return 0
+        place = self.order.index(self.name)
+        depth = -1
+        while place > 0:
+            place = (place - 1) // FANOUT
+            depth += 1
+        return max(0, depth)
+
     def known_as_of_ms(self) -> int:
         """Return when the store last confirmed what is held here."""
         own_ms = min(self.read_ms.get(feed, 0) for feed in self.feeds)
@@ -342,6 +357,7 @@
     if now_ms - state.heard_ms > state.times.silent_ms + pause_ms:
         return True, 'no beat'
     age_ms = now_ms - state.known_as_of_ms()
+    pause_ms += state.depth() * LEVEL_MS
     if age_ms > state.times.stale_ms + pause_ms:
         return True, 'old beats'
     beat_age_ms = now_ms - state.confirmed_ms
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -44,6 +44,20 @@
       | count | from_ms | to_ms |
       | 30    | 1300    | 1800  |
 
+  Scenario Outline: When beats are old, those near the root read first
+    Given a domain of <count> members whose root hears nothing from the store
+    When the store <answers> those who ask, for 8 s
+    Then <readers> members have begun to read, the last of them after <most> ms
+
+    Examples:
+      | count | answers | readers | most |
+      | 9     | answers | 8       | 4750 |
+      | 40    | answers | 8       | 4750 |
+      | 386   | answers | 8       | 4750 |
+      | 9     | ignores | 8       | 4750 |
+      | 40    | ignores | 39      | 5350 |
+      | 386   | ignores | 385     | 5950 |
+
   Scenario Outline: News of targets need no further call when nothing is missing
     Given a member that knows targets up to revision <held>
     When a beat brings changes from revision 10 to 12
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -564,3 +564,50 @@
 def knows_all(context):
     assert len(context.members.members) == context.count
     assert not set(context.members.gossip) & set(context.members.members)
+
+
+@given('a domain of {count:d} members whose root hears nothing from the '
+       'store')  # fmt: skip
+def domain_without_store(context, count):
+    context.domain = Domain(count)
+    for index, state in enumerate(context.domain.members.values()):
+        state.is_reading = index == 0
+        state.spread = index % 8 / 8
+
+
+@when('the store {answers} those who ask, for 8 s')
+def old_beats(context, answers):
+    domain = context.domain
+    context.began = {}
+    start_ms = domain.now_ms
+    while domain.now_ms < start_ms + 8_000:
+        domain.now_ms += TICK_MS
+        beats = []
+        for name, state in domain.members.items():
+            for one in spreading.decide(state, Tick(domain.now_ms)):
+                match one:
+                    case spreading.SendBeat(beat, children):
+                        beats += [(child, beat) for child in children]
+                    case spreading.SetReading(True):
+                        lasted_ms = domain.now_ms - start_ms
+                        context.began.setdefault(name, lasted_ms)
+                        if answers == 'answers':
+                            answer(state, domain.now_ms)
+        for child, beat in beats:
+            domain.deliver(child, beat)
+
+
+def answer(state, now_ms):
+    """Let the store say that nothing has changed."""
+    for feed in state.feeds:
+        news = Delta((), (), state.targets_revision, state.targets_revision)
+        event = spreading.StoreAnswered(feed, news, now_ms)
+        spreading.decide(state, event)
+
+
+@then('{readers:d} members have begun to read, the last of them after '
+      '{most:d} ms')  # fmt: skip
+def began_to_read(context, readers, most):
+    assert len(context.began) == readers, len(context.began)
+    last_ms = max(context.began.values())
+    assert last_ms <= most, last_ms
