Ask peers for a beat before reading the store

Change: who has heard nothing for 1 s, or whose knowledge is about to be too old, asks its parent, another member and one of another domain for a beat; a root that lost the store asks too. A member that only helps out waits 1.5 s after a call that failed.

--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -145,10 +145,12 @@
 class Resumed(Message):
     """Follow the store again; what is known is as of ``revision``.
 
-    ``revision`` is None when nothing is known yet.
+    ``revision`` is None when nothing is known yet.  ``is_helping`` tells
+    that another one should follow it, but brings nothing.
     """
 
     revision: int | None
+    is_helping: bool = False
 
 
 @message
@@ -219,6 +221,7 @@
     times: FreshnessTimes = Factory(freshness_times)
     is_calling: bool = False
     is_resting: bool = False
+    is_helping: bool = False
 
 
 def decide(state: FollowState, event) -> list:
@@ -227,6 +230,7 @@
         case Paused():
             return _pause(state)
         case Resumed():
+            state.is_helping = event.is_helping
             return _resume(state, event.revision)
         case Hurried():
             return [] if state.is_resting else _hurry(state)
@@ -342,7 +346,12 @@
 
 def _failed(state, cause):
     state.failures += 1
-    doubled_ms = FIRST_RETRY_MS * 2 ** min(state.failures - 1, 10)
+    first_ms = FIRST_RETRY_MS
+    if state.is_helping and state.revision is not None:
+        # The store is away for all, or this balancer alone is cut off.  Eight
+        # members that helped made 6 calls each while it refused for 5 s.
+        first_ms = LONGEST_RETRY_MS
+    doubled_ms = first_ms * 2 ** min(state.failures - 1, 10)
     pause_ms = min(doubled_ms, LONGEST_RETRY_MS) * (0.5 + state.jitter)
     lost = [DependencyLost(cause)] if state.failures == 1 else []
     if state.must_list:
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -28,6 +28,14 @@
 # Beats come this often; a beat is some 60 bytes, to eight children 1.2 KB
 # a second with all overhead.
 BEAT_MS = 400
+# Who has missed two beats, or whose knowledge is nearly too old, asks peers
+# for a beat.  Views of who is there differ for seconds while many come and
+# go, and a parent then sends nothing to some of its children: of 50 members
+# all read the store again and again while 40 % were restarted in turn.
+ASK_AFTER_MS = 1_000
+# Between two questions: some fall into the time until the store is read.
+ASK_EVERY_MS = 200
+ASK_MARGIN_MS = 500
 # Members start to read spread over this time, as all miss the same beat.
 SPREAD_MS = 400
 # Members further down the tree begin this much later for each level: those
@@ -48,12 +56,21 @@
 # seconds on a link of 5 Mbit/s, and each further copy would slow all down.
 MAX_PULLS = 2
 
+# Why a member reads that is not the root.
+NO_BEAT = 'no beat'
+OLD_BEATS = 'old beats'
+HELPING = (NO_BEAT, OLD_BEATS)
+
 
 @message
 class OrderChanged(Message):
-    """The members of the domain in the order of the relay tree."""
+    """The members of the domain in the order of the relay tree.
+
+    ``far`` names some live members of other domains.
+    """
 
     order: tuple[str, ...]
+    far: tuple[str, ...] = ()
 
 
 @message
@@ -110,6 +127,21 @@
     children: tuple[str, ...]
 
 
+@message
+class BeatAsked(Message):
+    """A peer has heard no beat, or only old ones, and asks for one."""
+
+    sender: str
+    now_ms: int
+
+
+@message
+class AskForBeat(Message):
+    """Ask peers for a beat."""
+
+    peers: tuple[str, ...]
+
+
 @message
 class TakeOver(Message):
     """Take over news of targets that a beat brought."""
@@ -139,10 +171,14 @@
 
 @message
 class SetReading(Message):
-    """Begin or end to read the store; ``reason`` says why."""
+    """Begin or end to read the store; ``reason`` says why.
+
+    ``is_helping`` tells that another one reads it too, as far as is known.
+    """
 
     is_reading: bool
     reason: str
+    is_helping: bool = False
 
 
 @define
@@ -165,6 +201,7 @@
     spread: float = 0.5
     times: FreshnessTimes = Factory(freshness_times)
     order: tuple[str, ...] = ()
+    far: tuple[str, ...] = ()
     is_reading: bool = True
     heard_ms: int = 0
     confirmed_ms: int = 0
@@ -176,6 +213,8 @@
     changes: list[_Change] = Factory(list)
     next_beat_ms: int = 0
     next_pull_ms: int = 0
+    next_ask_ms: int = 0
+    asked: int = 0
     pulled_from: set[str] = Factory(set)
 
     @property
@@ -212,6 +251,7 @@
     match event:
         case OrderChanged():
             state.order = event.order
+            state.far = event.far
             return []
         case KnowledgeChanged():
             return _knowledge(state, event)
@@ -219,6 +259,8 @@
             return _answered(state, event)
         case BeatArrived():
             return _beat(state, event.beat, event.now_ms)
+        case BeatAsked():
+            return [SendBeat(make_beat(state, event.now_ms), (event.sender,))]
         case PullEnded():
             state.pulled_from.discard(event.peer)
             return []
@@ -329,7 +371,40 @@
         children = state.children()
         if children:
             actions.append(SendBeat(make_beat(state, now_ms), children))
-    return actions
+    return [*actions, *_ask(state, now_ms)]
+
+
+def _ask(state, now_ms):
+    """Ask peers for a beat before the store has to be read."""
+    heard_ms = max(state.heard_ms, state.started_ms)
+    known_ms = max(state.known_as_of_ms(), state.started_ms)
+    is_silent = not state.is_root and now_ms - heard_ms > ASK_AFTER_MS
+    is_old = now_ms - known_ms > state.times.stale_ms - ASK_MARGIN_MS
+    if not (is_silent or is_old) or now_ms < state.next_ask_ms:
+        return []
+    state.next_ask_ms = now_ms + ASK_EVERY_MS
+    state.asked += 1
+    peers = _whom_to_ask(state)
+    return [AskForBeat(peers)] if peers else []
+
+
+def _whom_to_ask(state):
+    """Return the parent, another member of the domain, and one of another.
+
+    The parent may not know of its child, the domain may have lost its way to
+    the store; the others change with each question.
+    """
+    peers = []
+    if state.name in state.order and len(state.order) > 1:
+        place = state.order.index(state.name)
+        if place:
+            peers.append(state.order[(place - 1) // FANOUT])
+        turn = 1 + state.asked % (len(state.order) - 1)
+        peers.append(state.order[(place + turn) % len(state.order)])
+    if state.far:
+        turn = round(state.spread * len(state.far)) + state.asked
+        peers.append(state.far[turn % len(state.far)])
+    return tuple(dict.fromkeys(peers))
 
 
 def _choose_reading(state, now_ms):
@@ -337,7 +412,8 @@
     if wanted == state.is_reading:
         return []
     state.is_reading = wanted
-    return [SetReading(wanted, reason)]
+    is_helping = wanted and reason in HELPING
+    return [SetReading(wanted, reason, is_helping)]
 
 
 def _wants_reading(state, now_ms):
@@ -355,14 +431,14 @@
         return False, 'started of late'
     pause_ms = state.spread * SPREAD_MS
     if now_ms - state.heard_ms > state.times.silent_ms + pause_ms:
-        return True, 'no beat'
+        return True, NO_BEAT
     age_ms = now_ms - state.known_as_of_ms()
     pause_ms += state.depth() * LEVEL_MS
     if age_ms > state.times.stale_ms + pause_ms:
-        return True, 'old beats'
+        return True, OLD_BEATS
     beat_age_ms = now_ms - state.confirmed_ms
     if state.is_reading and beat_age_ms > state.times.fresh_ms:
-        return True, 'old beats'
+        return True, OLD_BEATS
     return False, 'fresh beats'
 
 
--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -25,6 +25,7 @@
 from liftmount._internal.models.segments import TargetEntry
 
 BEAT_MARK = 3
+ASK_MARK = 4
 # Knowledge of 27,000 targets takes about 2 MB before it is compressed.
 MAX_KNOWLEDGE_BYTES = 64 * 1_048_576
 
@@ -70,6 +71,28 @@
     return len(datagram) > 1 and datagram[1] == BEAT_MARK
 
 
+def encode_ask(sender: str) -> bytes:
+    """Return the wire form of a question for a beat."""
+    return cbor2.dumps([ASK_MARK, sender])
+
+
+def is_ask(datagram: bytes) -> bool:
+    """Tell whether a datagram of a peer asks for a beat."""
+    return len(datagram) > 1 and datagram[1] == ASK_MARK
+
+
+def decode_ask(datagram: bytes) -> str:
+    """Return who asks for a beat; raises PacketError on anything else."""
+    try:
+        _mark, sender = cbor2.loads(datagram)
+    except Exception as error:
+        # The library raises whatever the bytes make it stumble over.
+        raise PacketError(f'not a question: {error}') from error
+    if type(sender) is not str:
+        raise PacketError('a question of nobody')
+    return sender
+
+
 def decode_beat(datagram: bytes) -> Beat:
     """Read a beat; raises PacketError on anything else."""
     try:
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -25,13 +25,16 @@
 from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.identity import make_incarnation
 from liftmount._internal.models.identity import RANDOM_BITS
+from liftmount._internal.models.knowledge import decode_ask
 from liftmount._internal.models.knowledge import decode_beat
 from liftmount._internal.models.knowledge import decode_knowledge
 from liftmount._internal.models.knowledge import decode_member
 from liftmount._internal.models.knowledge import decode_members
+from liftmount._internal.models.knowledge import encode_ask
 from liftmount._internal.models.knowledge import encode_beat
 from liftmount._internal.models.knowledge import encode_member
 from liftmount._internal.models.knowledge import encode_members
+from liftmount._internal.models.knowledge import is_ask
 from liftmount._internal.models.knowledge import is_beat
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
@@ -207,6 +210,10 @@
                 event = spreading.BeatArrived(decode_beat(data), now_ms)
                 self._execute(spreading.decide(self.spread, event))
                 return
+            if is_ask(data):
+                event = spreading.BeatAsked(decode_ask(data), now_ms)
+                self._execute(spreading.decide(self.spread, event))
+                return
             event = membership.MessageArrived(
                 decode_peer(data), Endpoint(*source[:2]), now_ms
             )
@@ -292,8 +299,10 @@
                 and not any(one.reachable for one in far),
             )
         )
-        if order != self.spread.order:
-            spreading.decide(self.spread, spreading.OrderChanged(order))
+        is_reordered = order != self.spread.order
+        names = tuple(one.name for one in far if one.eligible)
+        spreading.decide(self.spread, spreading.OrderChanged(order, names))
+        if is_reordered:
             # The last member of a domain leaves nobody behind.
             root = order[0] if order else ''
             self.log.write(self.name, 'order', members=len(order), root=root)
@@ -327,19 +336,28 @@
                     self._ask_other_domain(member)
                 case membership.BudgetSpent():
                     self.counters.count('refused.control_budget_spent')
-                case spreading.SendBeat():
-                    self._send_beat(action)
-                case spreading.TakeOver(delta):
-                    self.packets.post(FeedNews(TARGETS, delta))
-                case spreading.Pull():
-                    self._pull(action)
-                case spreading.ReadNow():
-                    self.kernel.post(TARGETS, following.Hurried())
-                case spreading.SetReading():
-                    self._set_reading(action)
+                case _:
+                    self._spread(action)
         if is_reordered:
             self._reorder()
 
+    def _spread(self, action):
+        """Do what was decided on the spreading of news."""
+        match action:
+            case spreading.SendBeat(beat, children):
+                self._send_to(encode_beat(beat), children)
+            case spreading.AskForBeat(peers):
+                self.counters.count('retried.beat_asked')
+                self._send_to(encode_ask(self.options.name), peers)
+            case spreading.TakeOver(delta):
+                self.packets.post(FeedNews(TARGETS, delta))
+            case spreading.Pull():
+                self._pull(action)
+            case spreading.ReadNow():
+                self.kernel.post(TARGETS, following.Hurried())
+            case spreading.SetReading():
+                self._set_reading(action)
+
     def _send(self, datagram, destination):
         self.counters.count('control_bytes', len(datagram))
         self.socket.send(datagram, destination.socket_address())
@@ -354,9 +372,8 @@
             leaving=member.leaving,
         )
 
-    def _send_beat(self, action):
-        datagram = encode_beat(action.beat)
-        for name in action.children:
+    def _send_to(self, datagram, names):
+        for name in names:
             member = self.members.members.get(name)
             if member is not None:
                 self._send(datagram, member.peer)
@@ -378,7 +395,8 @@
         for feed in self.feeds:
             if action.is_reading:
                 revision = revisions[feed.name] or None
-                self.kernel.post(feed.name, following.Resumed(revision))
+                resumed = following.Resumed(revision, action.is_helping)
+                self.kernel.post(feed.name, resumed)
             else:
                 self.kernel.post(feed.name, following.Paused())
 
--- a/tests/features/decisions/beliefs.feature
+++ b/tests/features/decisions/beliefs.feature
@@ -103,6 +103,10 @@
       | start, listed 10, paused                   | none                       |
       | start, listed 10, paused, known 20, hurried | none                      |
       | start, listed 10, known 20                 | none                       |
+      | start, listed 10, paused, resumed, failed  | brief watch from 10 after 200 ms |
+      | start, listed 10, paused, helping, failed  | brief watch from 10 after 1500 ms |
+      | start, listed 10, paused, helping, failed, failed | brief watch from 10 after 1500 ms |
+      | start, paused, failed, helping, failed     | list that may lag after 400 ms |
       | begun, failed                              | list that may lag after 200 ms |
       | known 10, hurried                          | brief watch from 10 at once |
       | known 10, failed                           | brief watch from 10 after 200 ms |
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -58,6 +58,28 @@
       | 40    | ignores | 39      | 5350 |
       | 386   | ignores | 385     | 5950 |
 
+  Scenario Outline: Who hears no beat asks peers before it reads the store
+    Given a domain of 40 members that all know revision 10
+    When beats of parents to every third member are lost for 20 s, and <answers>
+    Then <readers> members have begun to read
+
+    Examples:
+      | answers                          | readers |
+      | those asked answer               | 0       |
+      | a fifth of the answers is lost   | 0       |
+      | those asked answer nothing       | 13      |
+
+  Scenario Outline: A domain that lost its way to the store asks another one
+    Given a domain of 40 members whose root hears nothing from the store
+    When a member of another domain knows what the store said <age> ms ago
+    Then <readers> members have begun to read
+
+    Examples:
+      | age  | readers |
+      | 300  | 0       |
+      | 3000 | 0       |
+      | 9000 | 39      |
+
   Scenario Outline: News of targets need no further call when nothing is missing
     Given a member that knows targets up to revision <held>
     When a beat brings changes from revision 10 to 12
--- a/tests/features/steps/beliefs_steps.py
+++ b/tests/features/steps/beliefs_steps.py
@@ -169,6 +169,7 @@
     'gone': following.HistoryGone,
     'hurried': following.Hurried,
     'paused': following.Paused,
+    'helping': lambda: following.Resumed(None, is_helping=True),
     'resumed': lambda: following.Resumed(None),
     'failed': lambda: following.CallFailed('no answer'),
 }
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -611,3 +611,97 @@
     assert len(context.began) == readers, len(context.began)
     last_ms = max(context.began.values())
     assert last_ms <= most, last_ms
+
+
+@then('{readers:d} members have begun to read')
+def members_read(context, readers):
+    assert len(context.began) == readers, sorted(context.began)
+
+
+class AskingDomain:
+    """A domain whose members also ask for beats.
+
+    ``is_lost(sender, receiver)`` tells of beats, ``answers(sender,
+    receiver)`` of those that were asked for.  Whoever is called ``far`` is
+    in another domain, and knows what the store said ``far_age_ms`` ago.
+    """
+
+    def __init__(self, domain, is_lost, answers, far_age_ms=None):
+        self.domain = domain
+        self.is_lost = is_lost
+        self.answers = answers
+        self.far_age_ms = far_age_ms
+        self.began = {}
+
+    def run(self, interval_ms, is_store_up):
+        """Let time pass."""
+        domain = self.domain
+        until_ms = domain.now_ms + interval_ms
+        while domain.now_ms < until_ms:
+            domain.now_ms += TICK_MS
+            for state in domain.members.values():
+                if is_store_up and state.is_reading:
+                    answer(state, domain.now_ms)
+            for name, state in domain.members.items():
+                event = Tick(domain.now_ms)
+                for one in spreading.decide(state, event):
+                    self.execute(name, one)
+
+    def execute(self, name, action):
+        """Do what a member decided."""
+        match action:
+            case spreading.SendBeat(beat, receivers):
+                for receiver in receivers:
+                    if not self.is_lost(name, receiver):
+                        self.domain.deliver(receiver, beat)
+            case spreading.AskForBeat(peers):
+                for peer in peers:
+                    self.ask(name, peer)
+            case spreading.SetReading(True):
+                self.began[name] = self.domain.now_ms
+
+    def ask(self, name, peer):
+        """Let a peer answer."""
+        if peer == 'far':
+            beat = make_beat('far', self.far_age_ms)
+            self.domain.deliver(name, beat)
+        elif self.answers(peer, name):
+            event = spreading.BeatAsked(name, self.domain.now_ms)
+            (told,) = spreading.decide(self.domain.members[peer], event)
+            self.domain.deliver(name, told.beat)
+
+
+@when('beats of parents to every third member are lost for {interval:d} s, '
+      'and {answers}')  # fmt: skip
+def beats_to_some_lost(context, interval, answers):
+    domain = context.domain
+    random.seed(3)
+    lost = domain.names[1::3]
+    shares = {
+        'those asked answer': 1.0,
+        'a fifth of the answers is lost': 0.8,
+        'those asked answer nothing': 0.0,
+    }
+    asking = AskingDomain(
+        domain,
+        lambda _sender, receiver: receiver in lost,
+        lambda _sender, _receiver: random.random() < shares[answers],
+    )
+    for state in domain.members.values():
+        state.is_reading = state.is_root
+    asking.run(1_000 * interval, is_store_up=True)
+    context.began = asking.began
+
+
+@when('a member of another domain knows what the store said {age:d} ms ago')
+def far_member_knows(context, age):
+    for state in context.domain.members.values():
+        state.far = ('far',)
+    asking = AskingDomain(
+        context.domain,
+        lambda _sender, _receiver: False,
+        lambda _sender, _receiver: True,
+        age,
+    )
+    asking.run(8_000, is_store_up=False)
+    context.began = asking.began
