--- a/benches/domain_start.py
+++ b/benches/domain_start.py
@@ -200,12 +200,7 @@
         member.group_ms = self.now_ms
         share = int(member.name[1:]) / len(self.members)
         member.spread = spreading.SpreadState(member.name, self.now_ms, share)
-        event = spreading.KnowledgeChanged(
-            REVISION if TARGETS in member.known_ms else 0,
-            REVISION if ROUTES in member.known_ms else 0,
-            1 if ROUTES in member.known_ms else 0,
-        )
-        self._spread(member, event)
+        self._note(member)
         self._ask_seed(member, 0)
 
     def _ask_seed(self, member, turn):
@@ -241,6 +236,9 @@
                     self.beats += [
                         (child, action.beat) for child in action.children
                     ]
+                case spreading.AskForBeat():
+                    for peer in action.peers:
+                        self._ask_for_beat(member, self.members[peer])
                 case spreading.SetReading():
                     for feed in FEEDS:
                         known = REVISION if feed in member.known_ms else None
@@ -251,6 +249,11 @@
                 case spreading.Pull():
                     self._pull(member, self.members[action.peer])
 
+    def _ask_for_beat(self, member, peer):
+        if peer.spread is not None:
+            event = spreading.BeatAsked(member.name, self.now_ms)
+            self._spread(peer, event)
+
     # Calls and bytes.
 
     def _call_store(self, member, feed, call):
