--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -22,6 +22,10 @@
 STOP = 'tests/features/promises/planned_stop.feature'
 GROUP = 'tests/features/decisions/group.feature'
 SOAK = 'tests/features/platform/soak.feature'
+SPREADING = 'tests/features/decisions/spreading.feature'
+BELIEFS = 'tests/features/decisions/beliefs.feature'
+DOMAIN_START = 'tests/features/decisions/domain_start.feature'
+TRANSFERS = 'tests/features/platform/transfers.feature'
 LIMIT_S = 300
 NOTHING_RUN = re.compile(r'\b0 scenarios passed, 0 failed, \d+ skipped')
 
@@ -199,6 +203,70 @@
         SOAK,
         'of each domain is stopped',
     ),
+    Mutation(
+        'readers: nobody asks for a beat',
+        'decisions/spreading.py',
+        'return [AskForBeat(peers)] if peers else []',
+        'return []',
+        SPREADING,
+        'Who hears no beat asks peers',
+    ),
+    Mutation(
+        'readers: all levels of the tree begin at once',
+        'decisions/spreading.py',
+        'pause_ms += state.depth() * LEVEL_MS',
+        'pause_ms += 0',
+        SPREADING,
+        'those near the root read first',
+    ),
+    Mutation(
+        'readers: a transfer makes knowledge look fresh',
+        'decisions/spreading.py',
+        'event.now_ms - news.age_ms',
+        'event.now_ms',
+        TRANSFERS,
+        'as old as the beginning of its answer',
+    ),
+    Mutation(
+        'readers: the first watch waits',
+        'decisions/following.py',
+        'return Watch(SETTLE_MS, revision, AT_ONCE_MS)',
+        'return Watch(SETTLE_MS, revision, state.times.watch_ms)',
+        BELIEFS,
+        'The store is followed without gaps',
+    ),
+    Mutation(
+        'readers: a watch begins anew after a pause',
+        'decisions/following.py',
+        'left_ms = state.times.watch_ms - pause_ms - lasted_ms',
+        'left_ms = state.times.watch_ms',
+        BELIEFS,
+        'Each watch ends in time',
+    ),
+    Mutation(
+        'readers: all begin to read after a start',
+        'decisions/spreading.py',
+        "        return False, 'started of late'\n    if state.is_root",
+        '        pass\n    if state.is_root',
+        DOMAIN_START,
+        'Members that start do not read the store',
+    ),
+    Mutation(
+        'transfers: the time of a whole answer is limited',
+        'network/http.py',
+        'self._limit.reschedule(now_s + seconds(STALL_MS))',
+        'pass',
+        TRANSFERS,
+        'A call ends for want of progress',
+    ),
+    Mutation(
+        'transfers: a first list ends when its member rests',
+        'decisions/following.py',
+        '    if _lists_first(state):\n        # Those',
+        '    if False:\n        # Those',
+        TRANSFERS,
+        'Who reads the store when another one begins to',
+    ),
 )
 
 
