--- a/benches/ablation.py
+++ b/benches/ablation.py
@@ -113,6 +113,37 @@
         '    if state.is_root:\n        return True',
         '    if True:\n        return True',
     ),
+    Mechanism(
+        'questions for beats',
+        'decisions/spreading.py',
+        'return [AskForBeat(peers)] if peers else []',
+        'return []',
+    ),
+    _constant(
+        'levels that read one after the other',
+        'decisions/spreading.py',
+        'LEVEL_MS',
+        '600',
+        '0',
+    ),
+    Mechanism(
+        'whoever has run for longest reads',
+        'decisions/relay.py',
+        '                one.incarnation,\n',
+        '',
+    ),
+    Mechanism(
+        'times from the bound',
+        'decisions/following.py',
+        'bound_ms = min(max(bound_ms, LEAST_BOUND_MS), MOST_BOUND_MS)',
+        'bound_ms = LEAST_BOUND_MS',
+    ),
+    Mechanism(
+        'slow retries of who helps',
+        'decisions/following.py',
+        '        first_ms = LONGEST_RETRY_MS\n',
+        '        pass\n',
+    ),
     Mechanism(
         'packets between imports',
         'utils/import_turns.py',
--- a/benches/calls.py
+++ b/benches/calls.py
@@ -39,17 +39,23 @@
     return kinds, spans
 
 
+def count_all(lines: list[dict]) -> tuple[Counter, Counter]:
+    """Count the calls of several balancers, as count_calls does."""
+    kinds = Counter()
+    spans = Counter()
+    for one in by_instance(lines).values():
+        found = count_calls(one)
+        kinds += found[0]
+        spans += found[1]
+    return kinds, spans
+
+
 def main(arguments) -> int:
     """Print the tables of logs, one log for each balancer."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('logs', nargs='+', type=Path)
     options = parser.parse_args(arguments)
-    kinds = Counter()
-    spans = Counter()
-    for lines in by_instance(read_lines(options.logs)).values():
-        found = count_calls(lines)
-        kinds += found[0]
-        spans += found[1]
+    kinds, spans = count_all(read_lines(options.logs))
     print(f'{"calls":>6}  why, what, outcome')
     for key, count in kinds.most_common():
         print(f'{count:6}  {", ".join(key)}')
--- a/tests/features/product/measurements.feature
+++ b/tests/features/product/measurements.feature
@@ -17,6 +17,28 @@
       | crash 5 to 15, planned roll 9 to 12 | crash      |
       | planned roll 9 to 12             | roll          |
 
+  Scenario: Calls to the store are told by why they were made
+    Given these lines of logs of calls
+      | from | at_ms | event   | more                                            |
+      | one  | 1000  | start   |                                                 |
+      | two  | 1000  | start   |                                                 |
+      | one  | 1200  | called  | call=finish outcome=finished                    |
+      | two  | 1300  | called  | call=finish outcome=finished                    |
+      | one  | 1500  | reading | reason=root                                     |
+      | one  | 1600  | called  | call=watch wait_ms=1 outcome=changed            |
+      | one  | 5100  | called  | call=watch wait_ms=3500 outcome=changed         |
+      | two  | 7000  | reading | reason=old_beats                                |
+      | two  | 7100  | called  | call=watch wait_ms=1 outcome=callfailed         |
+      | two  | 9000  | start   |                                                 |
+      | two  | 9100  | called  | call=list outcome=listed                        |
+    Then these calls are counted
+      | why            | call        | outcome    | count |
+      | from its start | finish      | finished   | 2     |
+      | from its start | list        | listed     | 1     |
+      | root           | brief watch | changed    | 1     |
+      | root           | watch       | changed    | 1     |
+      | old_beats      | brief watch | callfailed | 1     |
+
   Scenario: Silence of a target is told from logs of several balancers
     Given these lines of logs
       | at_ms | event           | target | more            |
--- a/tests/features/steps/measurements_steps.py
+++ b/tests/features/steps/measurements_steps.py
@@ -7,6 +7,7 @@
 from benches.ablation import MECHANISMS
 from benches.ablation import ROOT
 from benches.ablation import SOURCE
+from benches.calls import count_all
 from benches.losses import find_cause
 from benches.silence import Table
 
@@ -74,3 +75,29 @@
 @then('{count:d} doubt was dispelled')
 def doubts_dispelled(context, count):
     assert context.silence_table.dispelled == count
+
+
+@given('these lines of logs of calls')
+def lines_of_calls(context):
+    context.lines = []
+    for row in context.table:
+        line = {
+            'from': row['from'],
+            'at_ms': int(row['at_ms']),
+            'event': row['event'],
+            'part': 'routes',
+        }
+        line.update(pair.split('=') for pair in row['more'].split())
+        if 'wait_ms' in line:
+            line['wait_ms'] = int(line['wait_ms'])
+        context.lines.append(line)
+
+
+@then('these calls are counted')
+def calls_counted(context):
+    kinds, _spans = count_all(context.lines)
+    wanted = {
+        (row['why'], 'routes', row['call'], row['outcome']): int(row['count'])
+        for row in context.table
+    }
+    assert kinds == wanted, kinds
