Take a list that may lag for no proof of freshness

Cause, found by reading: a list that the store may answer from a replica seconds behind counted as proof that all was known at its arrival. Now that members answer each other's questions with how fresh they are, one such list would have made others hold old knowledge for fresh. Such a list proves nothing; the first watch after it is answered at once, and does.

Tests: rows on what the store answers, which fail before.

--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -307,8 +307,12 @@
         case Listed():
             actions = _answered(state)
             state.must_list = False
+            is_first = state.revision is None
             # A list that lags must not bring changes back that are known.
             state.revision = max(state.revision or 0, event.revision)
+            if is_first:
+                # It may have lagged, and proves nothing before a watch does.
+                return [*actions, Watch(0, state.revision, AT_ONCE_MS)]
             return [*actions, _watch(state, 0)]
         case Changed():
             actions = _answered(state)
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -289,8 +289,10 @@
 
 def _answered(state, event):
     news = event.news
-    # What took long to arrive is as old as its beginning.
-    state.read_ms[event.feed] = event.now_ms - news.age_ms
+    may_lag = isinstance(news, Listing) and news.may_lag
+    if not may_lag:
+        # What took long to arrive is as old as its beginning.
+        state.read_ms[event.feed] = event.now_ms - news.age_ms
     if event.feed == TARGETS:
         if isinstance(news, Delta):
             _note_change(state, news, event.now_ms)
--- a/src/liftmount/_internal/models/feeds.py
+++ b/src/liftmount/_internal/models/feeds.py
@@ -35,12 +35,14 @@
 class Listing(Message):
     """All objects of a kind as of ``revision``.
 
-    ``age_ms`` is the time that passed since the store began to answer.
+    ``age_ms`` is the time that passed since the store began to answer.  A
+    list that ``may_lag`` may have been seconds old then.
     """
 
     items: tuple
     revision: int
     age_ms: int = 0
+    may_lag: bool = False
 
 
 @message
--- a/src/liftmount/platform/first_lists.py
+++ b/src/liftmount/platform/first_lists.py
@@ -95,4 +95,4 @@
     def _listing(self):
         stored = self._pages.listing(self._clock.now_ms())
         items = decode_all(stored.items, self._read, self._report)
-        return changed(stored, items=items)
+        return changed(stored, items=items, may_lag=True)
--- a/src/liftmount/platform/store_feed.py
+++ b/src/liftmount/platform/store_feed.py
@@ -26,7 +26,8 @@
     async def fetch(self, may_lag: bool, timeout_ms: float) -> Listing:
         """Return all objects of the kind; raises PlatformError."""
         listing = await self._store.list(self._kind, may_lag, timeout_ms)
-        return changed(listing, items=self._decode(listing.items))
+        items = self._decode(listing.items)
+        return changed(listing, items=items, may_lag=may_lag)
 
     async def watch(
         self, revision: int, wait_ms: int, timeout_ms: float
--- a/tests/features/decisions/spreading.feature
+++ b/tests/features/decisions/spreading.feature
@@ -36,6 +36,20 @@
       | nothing | 6000 ms with beats of age 9000                             | yes   |
       | nothing | 2000 ms with beats of age 9000, then 2000 ms without       | yes   |
 
+  Scenario Outline: Knowledge is never taken for fresher than it is
+    Given a member that has just started and knows nothing
+    When the store answers for both kinds: <answers>
+    Then its knowledge is <age> ms old
+
+    Examples:
+      | answers                                        | age     |
+      | a list that may lag                            | unknown |
+      | an exact list                                  | 0       |
+      | an exact list that took 3000 ms                | 3000    |
+      | a list that may lag, then a watch              | 0       |
+      | a list that may lag, then a watch that took 900 ms | 900 |
+      | an exact list, then a list that may lag 500 ms later | 500 |
+
   Scenario Outline: Members begin to read spread over time
     Given <count> members of a domain that hear no beat any more
     Then they begin to read between <from_ms> and <to_ms> ms later, not all at once
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -17,6 +17,7 @@
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Expiring
 from liftmount._internal.models.feeds import Knowledge
+from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.members import Member
@@ -705,3 +706,29 @@
     )
     asking.run(8_000, is_store_up=False)
     context.began = asking.began
+
+
+@when('the store answers for both kinds: {answers}')
+def store_answers_both(context, answers):
+    for text in answers.split(', then '):
+        numbers = [int(word) for word in text.split() if word.isdecimal()]
+        age_ms = 0
+        if 'took' in text:
+            (age_ms,) = numbers
+        if 'later' in text:
+            context.now_ms += numbers[0]
+        for feed in context.state.feeds:
+            news = Listing((), 10, age_ms, may_lag='may lag' in text)
+            if 'watch' in text:
+                news = Delta((), (), 10, 10, age_ms)
+            event = spreading.StoreAnswered(feed, news, context.now_ms)
+            spreading.decide(context.state, event)
+
+
+@then('its knowledge is {age} ms old')
+def knowledge_is_old(context, age):
+    known_ms = context.state.known_as_of_ms()
+    if age == 'unknown':
+        assert known_ms == 0, known_ms
+    else:
+        assert context.now_ms - known_ms == int(age), known_ms
