Hold silence of targets for void while the own link is busy

Replayed with logs: readers that had just taken over 1,706 routes told them to their children, 30 KB each over 2 Mbit/s; their probes waited behind that, were answered after 34 to 117 ms, some held for silent at 100 ms, and four silent ones make a verdict.

Change: a probe that is silent while more than 8 KB were told, pulled, or slowly read from the store, or within 1 s after, is void. Ruled out: a longer limit for probes, which delays every verdict.

Test: eight rows in transfers.feature.

--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -238,7 +238,9 @@
         if path.startswith(MEMBERS_PATH):
             return self._answer_members(path.removeprefix(MEMBERS_PATH))
         if path.startswith(KNOWLEDGE_PATH):
-            return self._teller.answer(path.removeprefix(KNOWLEDGE_PATH))
+            answer = self._teller.answer(path.removeprefix(KNOWLEDGE_PATH))
+            self.packets.path.note_transfer(len(answer.body))
+            return answer
         return HttpAnswer(HTTP_NOT_FOUND, b'', {})
 
     def _answer_members(self, text):
@@ -443,7 +445,9 @@
         """Return what a member knows, None if it can't be had."""
         path = f'{KNOWLEDGE_PATH}{self._known_revisions(scope)}'
         try:
-            return decode_knowledge(await self._get(member.control, path))
+            data = await self._get(member.control, path)
+            self.packets.path.note_transfer(len(data))
+            return decode_knowledge(data)
         except (HttpError, PacketError) as error:
             self.counters.count('retried.pull_failed')
             self.log.write(
--- a/src/liftmount/_internal/services/packet_path.py
+++ b/src/liftmount/_internal/services/packet_path.py
@@ -27,6 +27,12 @@
 from liftmount._internal.utils.raw_sockets import SOCK_DGRAM
 from liftmount._internal.utils.raw_sockets import SOL_SOCKET
 
+# A transfer of this size keeps a link of 2 Mbit/s busy for 30 ms; while one
+# is under way, and for as long after it, silence of targets says nothing:
+# probes of a balancer that told 1,706 routes to its children on such a link
+# took up to 117 ms, and four silent ones reset flows of a living target.
+BULK_BYTES = 8_192
+BULK_MS = 1_000
 TICK_MS = 20
 OVERFLOW_MS = 200
 RECEIVE_BYTES = 2_048
@@ -70,6 +76,7 @@
         self.leaving: LeavingState | None = None
         self.overflow = overflow.OverflowState()
         self.members = DomainMembers(1, False)
+        self.bulk_until_ms = 0
         self.state = ForwardingState(
             options.failure_domain,
             options.flow_max_age_ms,
@@ -146,9 +153,17 @@
             self._log.write('domain', name, reason=action.reason)
             self._counters.count(f'domain.{name}')
 
+    def note_transfer(self, size_bytes: int) -> None:
+        """Note that the own link carries something beside packets."""
+        if size_bytes >= BULK_BYTES:
+            self.bulk_until_ms = self.clock.now_ms() + BULK_MS
+
     def end_probe(self, sent: target_health.SendProbe, result) -> None:
         """Judge a target by how a probe of it ended."""
         now_ms = self.clock.now_ms()
+        is_silent = result is target_health.ProbeResult.SILENT
+        if is_silent and sent.sent_ms < self.bulk_until_ms:
+            result = target_health.ProbeResult.VOID
         self._log.write(
             'probes',
             'ended',
--- a/tests/features/platform/transfers.feature
+++ b/tests/features/platform/transfers.feature
@@ -60,3 +60,19 @@
       | it is told to rest, and a peer tells all  | is ended  | none    |
       | a peer tells all                          | is ended  | a watch |
       | it is told to rest, and to read again     | goes on   | a watch |
+
+  Scenario Outline: Silence of a target says nothing while the own link is busy
+    Given a balancer that knows one target, and has just <transfer>
+    When four probes of the target, sent <after_ms> ms later, are <result>
+    Then by its probes the target is <belief>
+
+    Examples:
+      | transfer                  | after_ms | result   | belief |
+      | transferred nothing       | 0        | silent   | dead   |
+      | transferred 4000 bytes    | 0        | silent   | dead   |
+      | transferred 30000 bytes   | 0        | silent   | alive  |
+      | transferred 30000 bytes   | 900      | silent   | alive  |
+      | transferred 30000 bytes   | 1100     | silent   | dead   |
+      | transferred 30000 bytes   | 0        | answered | alive  |
+      | got routes within 1050 ms | 0        | silent   | alive  |
+      | got routes within 5 ms    | 0        | silent   | dead   |
--- a/tests/features/steps/transfer_steps.py
+++ b/tests/features/steps/transfer_steps.py
@@ -8,15 +8,21 @@
 from behave import when
 
 from liftmount._internal.clock import Clock
+from liftmount._internal.clock import ManualClock
 from liftmount._internal.decisions import following
 from liftmount._internal.decisions import spreading
+from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.following import freshness_times
 from liftmount._internal.exceptions import PlatformError
 from liftmount._internal.kernel import Kernel
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import FeedNews
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.ticks import Tick
 from liftmount._internal.services.feeds import FeedService
+from liftmount._internal.services.packets import PacketService
 from liftmount._internal.utils.structured import StructuredLog
 from liftmount.platform.feeds import SOURCES
 from liftmount.platform.store import PlatformStore
@@ -28,6 +34,7 @@
 from tests.features.steps.early_steps import start_early
 from tests.features.steps.early_steps import STORE
 from tests.features.steps.early_steps import take_turns
+from tests.features.steps.forwarding_steps import make_entry
 from tests.features.steps.process_steps import start_balancer
 
 SHARES = {'all': 1.0, 'half': 0.5, 'a third': 0.3, 'none': 0.0}
@@ -312,3 +319,45 @@
     assert bool(posted) == (outcome == 'goes on'), posted
     wanted = ['a list'] if call == 'none' else ['a list', call]
     assert calls == wanted, calls
+
+
+@given('a balancer that knows one target, and has just {transfer}')
+def balancer_with_target(context, transfer):
+    context.run = make_run_addresses()
+    address = endpoint(context, STORE, HTTP)
+    context.store = StoreThread(address.ip, address.port)
+    context.add_cleanup(context.store.stop)
+    start_early(context)
+    path = context.early.path
+    path.clock = ManualClock(1_000_000)
+    entry = make_entry('one', 'guide')
+    service = PacketService(Kernel(path.clock), path)
+    service.handle(FeedNews(TARGETS, Listing((entry,), 10)))
+    match transfer.split():
+        case ['transferred', size, 'bytes']:
+            path.note_transfer(int(size))
+        case ['got', 'routes', 'within', lasted, 'ms']:
+            news = Delta((), (), 12, 10, int(lasted))
+            service.handle(FeedNews(ROUTES, news))
+
+
+@when('four probes of the target, sent {after:d} ms later, are {result}')
+def four_probes(context, after, result):
+    path = context.early.path
+    path.clock.advance(after)
+    sent_ms = path.clock.now_ms()
+    health = path.state.health
+    silent = target_health.TargetSilent('one', sent_ms)
+    for _ in range(target_health.PROBES_TO_DEAD):
+        path.execute(target_health.decide(health, silent))
+        path.clock.advance(target_health.PROBE_GAP_MS)
+        tick = Tick(path.clock.now_ms())
+        path.execute(target_health.decide(health, tick))
+    for sent in list(path.wanted):
+        path.end_probe(sent, target_health.ProbeResult(result))
+
+
+@then('by its probes the target is {belief}')
+def target_believed(context, belief):
+    is_dead = context.early.path.state.health.is_dead('one')
+    assert is_dead == (belief == 'dead'), context.early.path.wanted
