Call what stood there already; derive what was kept twice

Found by reading the change once more; behaviour stays as it is.

- The parent in the relay tree was worked out anew beside find_parent; the place of a member is now told by count_between in relay.py, and only once beats are old, where each tick did it before.
- SetReading kept whether a reader helps, which its reason tells.
- What keeps the link busy is one rule in PacketPath.note_transfer, where the packet service handed in a made-up size for an answer that took long.
- The replay of a start made news and replaced its items; it tells a member that helps out so, as the group does.
- Three scenarios started the store stand-in by the same four lines.

The mutation of the levels names its new place, and is noticed.

--- a/benches/domain_start.py
+++ b/benches/domain_start.py
@@ -18,7 +18,6 @@
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
-from liftmount._internal.models.records import changed
 from liftmount._internal.models.ticks import Tick
 from liftmount._internal.network.http import STALL_MS
 from liftmount._internal.services.entry import SERVE_ALONE_MS
@@ -245,7 +244,7 @@
                         known = REVISION if feed in member.known_ms else None
                         told = following.Paused()
                         if action.is_reading:
-                            told = following.Resumed(known)
+                            told = following.Resumed(known, action.is_helping)
                         self._follow(member, feed, told)
                 case spreading.Pull():
                     self._pull(member, self.members[action.peer])
@@ -273,7 +272,7 @@
         size = CALL_BYTES if is_watch else case.stored_bytes(feed)
 
         def done():
-            news = Listing(('table',), REVISION, may_lag=True)
+            news = Listing((_Version(),), REVISION, may_lag=True)
             event = following.Listed(REVISION)
             if isinstance(call, following.Finish):
                 event = following.Finished(REVISION)
@@ -282,9 +281,7 @@
                 event = following.Changed(REVISION, 0)
             self._know(member, [feed])
             if member.spread is not None:
-                answered = spreading.StoreAnswered(
-                    feed, _without_tables(news), self.now_ms
-                )
+                answered = spreading.StoreAnswered(feed, news, self.now_ms)
                 self._spread(member, answered)
                 self._note(member)
             self._follow(member, feed, event)
@@ -375,14 +372,9 @@
 
 @frozen
 class _Version:
-    version: int = 1
+    """What spreading reads of a configuration."""
 
-
-def _without_tables(news):
-    """Return news whose items have the version that spreading reads."""
-    if isinstance(news, Listing):
-        return changed(news, items=(_Version(),))
-    return news
+    version: int = 1
 
 
 CASES = tuple(
--- a/src/liftmount/_internal/decisions/relay.py
+++ b/src/liftmount/_internal/decisions/relay.py
@@ -46,6 +46,16 @@
     return order[(index - 1) // FANOUT]
 
 
+def count_between(order: list[str], name: str) -> int:
+    """Return how many members are between a member and the root."""
+    between = -1
+    parent = find_parent(order, name)
+    while parent is not None:
+        between += 1
+        parent = find_parent(order, parent)
+    return max(0, between)
+
+
 @define
 class SubtreeReports:
     """Who holds which configuration, in the subtree below one member.
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -14,7 +14,9 @@
 
 from liftmount._internal.decisions.following import freshness_times
 from liftmount._internal.decisions.following import FreshnessTimes
+from liftmount._internal.decisions.relay import count_between
 from liftmount._internal.decisions.relay import FANOUT
+from liftmount._internal.decisions.relay import find_parent
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
@@ -171,14 +173,15 @@
 
 @message
 class SetReading(Message):
-    """Begin or end to read the store; ``reason`` says why.
-
-    ``is_helping`` tells that another one reads it too, as far as is known.
-    """
+    """Begin or end to read the store; ``reason`` says why."""
 
     is_reading: bool
     reason: str
-    is_helping: bool = False
+
+    @property
+    def is_helping(self) -> bool:
+        """Tell whether another one reads it too, as far as is known."""
+        return self.reason in HELPING
 
 
 @define
@@ -229,17 +232,6 @@
         first = self.order.index(self.name) * FANOUT + 1
         return self.order[first : first + FANOUT]
 
-    def depth(self) -> int:
-        """Return how many members are between this one and the root."""
-        if self.name not in self.order:
-            return 0
-        place = self.order.index(self.name)
-        depth = -1
-        while place > 0:
-            place = (place - 1) // FANOUT
-            depth += 1
-        return max(0, depth)
-
     def known_as_of_ms(self) -> int:
         """Return when the store last confirmed what is held here."""
         own_ms = min(self.read_ms.get(feed, 0) for feed in self.feeds)
@@ -397,10 +389,11 @@
     the store; the others change with each question.
     """
     peers = []
+    parent = find_parent(state.order, state.name)
+    if parent is not None:
+        peers.append(parent)
     if state.name in state.order and len(state.order) > 1:
         place = state.order.index(state.name)
-        if place:
-            peers.append(state.order[(place - 1) // FANOUT])
         turn = 1 + state.asked % (len(state.order) - 1)
         peers.append(state.order[(place + turn) % len(state.order)])
     if state.far:
@@ -414,8 +407,7 @@
     if wanted == state.is_reading:
         return []
     state.is_reading = wanted
-    is_helping = wanted and reason in HELPING
-    return [SetReading(wanted, reason, is_helping)]
+    return [SetReading(wanted, reason)]
 
 
 def _wants_reading(state, now_ms):
@@ -434,10 +426,11 @@
     pause_ms = state.spread * SPREAD_MS
     if now_ms - state.heard_ms > state.times.silent_ms + pause_ms:
         return True, NO_BEAT
-    age_ms = now_ms - state.known_as_of_ms()
-    pause_ms += state.depth() * LEVEL_MS
-    if age_ms > state.times.stale_ms + pause_ms:
-        return True, OLD_BEATS
+    late_ms = now_ms - state.known_as_of_ms() - state.times.stale_ms
+    if late_ms > pause_ms:
+        levels = count_between(state.order, state.name)
+        if late_ms > pause_ms + levels * LEVEL_MS:
+            return True, OLD_BEATS
     beat_age_ms = now_ms - state.confirmed_ms
     if state.is_reading and beat_age_ms > state.times.fresh_ms:
         return True, OLD_BEATS
--- a/src/liftmount/_internal/services/packet_path.py
+++ b/src/liftmount/_internal/services/packet_path.py
@@ -32,6 +32,8 @@
 # probes of a balancer that told 1,706 routes to its children on such a link
 # took up to 117 ms, and four silent ones reset flows of a living target.
 BULK_BYTES = 8_192
+# Answers of one page arrive at once on a link that is free.
+BULK_LASTS_MS = 30
 BULK_MS = 1_000
 TICK_MS = 20
 OVERFLOW_MS = 200
@@ -153,9 +155,9 @@
             self._log.write('domain', name, reason=action.reason)
             self._counters.count(f'domain.{name}')
 
-    def note_transfer(self, size_bytes: int) -> None:
-        """Note that the own link carries something beside packets."""
-        if size_bytes >= BULK_BYTES:
+    def note_transfer(self, size_bytes: int = 0, lasted_ms: int = 0) -> None:
+        """Note what the own link has carried beside packets."""
+        if size_bytes >= BULK_BYTES or lasted_ms >= BULK_LASTS_MS:
             self.bulk_until_ms = self.clock.now_ms() + BULK_MS
 
     def end_probe(self, sent: target_health.SendProbe, result) -> None:
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -8,14 +8,10 @@
 from liftmount._internal.models.feeds import FeedNews
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import TargetUnknown
-from liftmount._internal.services.packet_path import BULK_BYTES
 from liftmount._internal.services.packet_path import PacketPath
 from liftmount._internal.services.packet_path import TICK_MS
 from liftmount._internal.services.probes import probe
 
-# Answers of one page arrive at once on a link that is free.
-LONG_TRANSFER_MS = 30
-
 
 class PacketService(TickingService):
     """Reads packets, lets time pass, probes targets, takes over news."""
@@ -55,7 +51,7 @@
         beliefs = self.path.beliefs
         match posted:
             case FeedNews():
-                self._note_transfer(posted)
+                self.path.note_transfer(lasted_ms=posted.news.age_ms)
                 self.path.execute(beliefs.take_news(posted, now_ms))
             case Knowledge():
                 self.path.execute(beliefs.take_knowledge(posted, now_ms))
@@ -66,11 +62,6 @@
             case _:
                 super().handle(posted)
 
-    def _note_transfer(self, posted):
-        """Note an answer of the store that took long to arrive."""
-        if posted.news.age_ms >= LONG_TRANSFER_MS:
-            self.path.note_transfer(BULK_BYTES)
-
     def _ask_group(self):
         if 'group' in self.kernel.services:
             event = TargetUnknown(self.clock.now_ms())
--- a/tests/features/steps/early_steps.py
+++ b/tests/features/steps/early_steps.py
@@ -40,12 +40,17 @@
     return Endpoint(run.ip(group, 1), run.first_port + port)
 
 
-@given('a store that holds {count:d} targets and a configuration')
-def store_with(context, count):
+def start_store(context):
+    """Start an empty store, at an address of this run."""
     context.run = make_run_addresses()
     address = endpoint(context, STORE, HTTP)
     context.store = StoreThread(address.ip, address.port)
     context.add_cleanup(context.store.stop)
+
+
+@given('a store that holds {count:d} targets and a configuration')
+def store_with(context, count):
+    start_store(context)
     place = str(endpoint(context, TARGET, DATAGRAMS))
     for number in range(count):
         spec = {**ENTRY, 'address': place}
--- a/tests/features/steps/transfer_steps.py
+++ b/tests/features/steps/transfer_steps.py
@@ -27,11 +27,10 @@
 from liftmount.platform.feeds import SOURCES
 from liftmount.platform.store import PlatformStore
 from liftmount.platform.store_feed import StoreFeed
-from stand_ins.addresses import make_run_addresses
-from stand_ins.store import StoreThread
 from tests.features.steps.early_steps import endpoint
 from tests.features.steps.early_steps import HTTP
 from tests.features.steps.early_steps import start_early
+from tests.features.steps.early_steps import start_store
 from tests.features.steps.early_steps import STORE
 from tests.features.steps.early_steps import take_turns
 from tests.features.steps.forwarding_steps import make_entry
@@ -80,10 +79,7 @@
 
 @given('a store that holds {count:d} routes and sends {rate:d} bytes a second')
 def slow_store(context, count, rate):
-    context.run = make_run_addresses()
-    address = endpoint(context, STORE, HTTP)
-    context.store = StoreThread(address.ip, address.port)
-    context.add_cleanup(context.store.stop)
+    start_store(context)
     write_many_routes(context, count)
     store_rate(context, rate)
 
@@ -323,10 +319,7 @@
 
 @given('a balancer that knows one target, and has just {transfer}')
 def balancer_with_target(context, transfer):
-    context.run = make_run_addresses()
-    address = endpoint(context, STORE, HTTP)
-    context.store = StoreThread(address.ip, address.port)
-    context.add_cleanup(context.store.stop)
+    start_store(context)
     start_early(context)
     path = context.early.path
     path.clock = ManualClock(1_000_000)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -214,8 +214,8 @@
     Mutation(
         'readers: all levels of the tree begin at once',
         'decisions/spreading.py',
-        'pause_ms += state.depth() * LEVEL_MS',
-        'pause_ms += 0',
+        'levels = count_between(state.order, state.name)',
+        'levels = 0',
         SPREADING,
         'those near the root read first',
     ),
