Read piece by piece what others write, and begin anew with a target that did

Cause: a word that is not known in one of forty routes made a configuration void, one bad item a list, each time it was read; an unknown state counted as ready and a missing capacity as 1. A target that started again under its name kept the evidence, load and flows of before, and clients whose requests it had acknowledged waited until their deadline. Ruled out: withdrawing a badly rewritten target at once (one bad write would empty a service), and resets by clocks of two machines (a flow of the new start must not be reset): the target is sent the last segment of each request again and resets what it does not hold.

--- a/src/liftmount/_internal/decisions/directory.py
+++ b/src/liftmount/_internal/decisions/directory.py
@@ -147,15 +147,24 @@
 
 
 def _changed(state, event):
+    is_late = event.revision < state.revision
     state.revision = max(state.revision, event.revision)
     actions = []
     for entry in event.written:
+        if is_late and _is_other_start(state, entry):
+            # Its earlier start, of which all flows are lost.
+            continue
         actions += _written(state, entry)
     for name in event.removed:
         actions += _removed(state, name, event.now_ms)
     return actions
 
 
+def _is_other_start(state, entry):
+    known = state.entries.get(entry.name)
+    return known is not None and entry.is_other_start(known)
+
+
 def _written(state, entry):
     was_doubted = state.doubted.pop(entry.name, None) is not None
     if state.entries.get(entry.name) == entry and not was_doubted:
--- a/src/liftmount/_internal/decisions/flow_evidence.py
+++ b/src/liftmount/_internal/decisions/flow_evidence.py
@@ -32,12 +32,12 @@
         flow.acknowledged = segment.acknowledgement
         _note_far(state, flow, now_ms)
         # An answer is on its way, or another request began.
-        note_work(state, flow, _is_new(segment, flow), now_ms)
+        _note_request(state, segment, flow, _is_new(segment, flow), now_ms)
         return [TargetSeen(flow.target, now_ms)]
     if not segment.length_bytes:
         return []
     if _is_new(segment, flow):
-        note_work(state, flow, True, now_ms)
+        _note_request(state, segment, flow, True, now_ms)
         return []
     for_ms = now_ms - flow.working_ms
     if for_ms < RESEND_MS:
@@ -51,6 +51,12 @@
         state.far_seen_ms = now_ms
 
 
+def _note_request(state, segment, flow, is_working, now_ms):
+    note_work(state, flow, is_working, now_ms)
+    if is_working:
+        flow.request = segment
+
+
 def _is_new(segment, flow):
     """Tell whether a segment holds data for the first time; note it."""
     if not segment.length_bytes:
--- a/src/liftmount/_internal/decisions/flow_table.py
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -46,7 +46,8 @@
     ``tried`` names the targets that its opening went to; ``opening`` is
     that segment while it may be sent to another one.  ``sent`` is the
     sequence number after the last new byte.  ``is_working`` tells whether
-    a request seems to be under way, since ``working_ms``.
+    a request seems to be under way, since ``working_ms``; ``request`` is the
+    last segment of its data.
     """
 
     key: bytes
@@ -65,6 +66,7 @@
     acknowledged: int = 0
     is_working: bool = False
     working_ms: int = 0
+    request: Segment | None = None
 
 
 @frozen
@@ -218,6 +220,8 @@
     """Note that a flow's request began or ended."""
     if is_working:
         flow.working_ms = now_ms
+    else:
+        flow.request = None
     if flow.is_working == is_working:
         return
     flow.is_working = is_working
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -35,6 +35,7 @@
 from liftmount._internal.models.flow_messages import TargetDied
 from liftmount._internal.models.flow_messages import TargetPut
 from liftmount._internal.models.flow_messages import TargetRemoved
+from liftmount._internal.models.flow_messages import TargetRestarted
 from liftmount._internal.models.flow_messages import TargetsNeeded
 from liftmount._internal.models.flow_messages import TargetsSettled
 from liftmount._internal.models.records import Message
@@ -382,11 +383,36 @@
 
 def _put(state, event):
     entry = event.entry
+    before = state.tags.entries.get(entry.name)
     state.tags.add(entry)
+    actions = []
+    if before is not None and entry.is_other_start(before):
+        actions = _restart(state, entry, event.now_ms)
     state.former.pop(entry.name, None)
     state.slots.pop(entry.service, None)
     state.pool(entry.service).put(_info(state, event), event.now_ms)
-    return []
+    return actions
+
+
+def _restart(state, entry, now_ms):
+    """A target started anew under its name: nothing of before holds.
+
+    It resets what it gets of a flow that it does not hold.  So it is sent
+    again what it got last of each request that its clients wait for in vain;
+    flows that opened since its start are not harmed by that.
+    """
+    state.health.forget(entry.name)
+    state.pool(entry.service).remove(entry.name)
+    actions = []
+    ended = 0
+    for flow in list(state.flows.values()):
+        if flow.target != entry.name or flow.phase is not Phase.OPEN:
+            continue
+        if flow.request is not None:
+            actions.append(Forward(flow.request, entry, flow.tag))
+        end_flow(state, flow, now_ms)
+        ended += 1
+    return [TargetRestarted(entry, ended, len(actions)), *actions]
 
 
 def _info(state, event):
--- a/src/liftmount/_internal/exceptions.py
+++ b/src/liftmount/_internal/exceptions.py
@@ -69,11 +69,15 @@
 class StoredObjectError(PlatformError):
     """An object in the store does not hold what it should.
 
-    ``name`` is the object, ``field`` the path of the bad value.
+    ``name`` is the object, ``field`` the path of the bad value, which is
+    told in part if it is long.
     """
 
+    LONGEST_TOLD = 80
+
     def __init__(self, name, field, value, message):
-        super().__init__(f'{name}: {field} = {value!r}: {message}')
+        told = repr(value)[: self.LONGEST_TOLD]
+        super().__init__(f'{name}: {field} = {told}: {message}')
         self.name = name
         self.field = field
         self.value = value
--- a/src/liftmount/_internal/models/flow_messages.py
+++ b/src/liftmount/_internal/models/flow_messages.py
@@ -144,6 +144,18 @@
     segment: Segment
 
 
+@message
+class TargetRestarted(Message):
+    """A target started anew under its name.
+
+    It had ``flows`` here, and is sent again the ``requests`` under way.
+    """
+
+    target: TargetEntry
+    flows: int
+    requests: int
+
+
 @message
 class Answered(Message):
     """A flow opened after ``latency_ms`` at a target."""
--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -200,11 +200,14 @@
         entry.slots,
         entry.draining,
         entry.warm_up_ms,
+        entry.started_wall_ms,
     ]
 
 
 def _decode_target(fields):
-    name, number, service, endpoint, domain, slots, draining, warm = fields
+    name, number, service, endpoint, domain, slots, draining, *times = fields
+    # Members of an earlier version don't tell when a target started.
+    warm_up_ms, started_wall_ms = (*map(int, times), 0)[:2]
     return TargetEntry(
         name=str(name),
         number=int(number),
@@ -213,7 +216,8 @@
         failure_domain=str(domain),
         slots=int(slots),
         draining=bool(draining),
-        warm_up_ms=int(warm),
+        warm_up_ms=warm_up_ms,
+        started_wall_ms=started_wall_ms,
     )
 
 
@@ -283,12 +287,20 @@
     )
 
 
+def _decode_kind(value):
+    """Return a kind; one of a later version gets the strictest promise."""
+    try:
+        return RouteKind(value)
+    except ValueError:
+        return RouteKind.AT_MOST_ONCE
+
+
 def _decode_route(fields):
     name, address, kind, shares, priority, objective_ms, regions = fields
     return Route(
         name=str(name),
         address=parse_endpoint(address),
-        kind=RouteKind(kind),
+        kind=_decode_kind(kind),
         shares=tuple(
             ServiceShare(str(service), int(weight))
             for service, weight in shares
--- a/src/liftmount/_internal/services/early.py
+++ b/src/liftmount/_internal/services/early.py
@@ -35,7 +35,8 @@
     readiness, None if its address is not free.  ``revisions`` tells by
     feed as of when the store was read, ``begun`` holds the first lists that
     are still under way.  ``stops`` has an entry if the process was told to
-    stop before its event loop ran.
+    stop before its event loop ran.  ``left_out`` is a LeftOut as soon as
+    something in the store can't be used.
     """
 
     settings: EntrySettings
@@ -47,11 +48,18 @@
     revisions: dict[str, int] = Factory(dict)
     begun: dict = Factory(dict)
     stops: list = Factory(list)
-
-    def refuse_object(self, error: Exception) -> None:
-        """Note an object of the store that is no good."""
-        self.metrics.count('refused.invalid_object')
-        self.log.write('store', 'object_refused', cause=str(error))
+    left_out: object = None
+
+    def note_problems(self, key: str, revision: int, problems) -> None:
+        """Note all that is wrong with an object of the store."""
+        if self.left_out is None:
+            if not problems:
+                return
+            # A start does without, unless there is something to refuse.
+            from liftmount._internal.services.left_out import LeftOut
+
+            self.left_out = LeftOut(self.log, self.metrics)
+        self.left_out.note(key, revision, problems)
 
 
 def make_early(
--- a/src/liftmount/_internal/services/entry.py
+++ b/src/liftmount/_internal/services/entry.py
@@ -38,8 +38,8 @@
 class Adapter:
     """What a platform has to give to a balancer.
 
-    ``make_feeds`` takes settings, a function that hears of objects that
-    are no good, and metrics, and returns feeds by name.  ``load`` returns
+    ``make_feeds`` takes settings, a function that hears of what is wrong
+    with an object, and metrics, and returns feeds by name.  ``load`` returns
     the settings as they are now, or raises ConfigurationError; ``stamp``
     returns what changes with the settings file.  ``ready_path`` is asked
     by the fabric.
@@ -112,7 +112,7 @@
             )
         )
         feeds = self.adapter.make_feeds(
-            settings, self.early.refuse_object, self.metrics
+            settings, self.early.note_problems, self.metrics
         )
         for name, feed in feeds.items():
             service = FeedService(
@@ -172,6 +172,7 @@
                 self.metrics,
                 self.path.beliefs,
                 self.group,
+                lambda: self.early.left_out,
                 self.log,
             )
         )
--- a/src/liftmount/_internal/services/metrics_page.py
+++ b/src/liftmount/_internal/services/metrics_page.py
@@ -11,18 +11,29 @@
 
 
 class MetricsPage(Service):
-    """Owns the server of the metrics address."""
+    """Owns the server of the metrics address.
+
+    ``find_left_out()`` returns the LeftOut, None while there is none.
+    """
 
     name = 'metrics'
 
     def __init__(
-        self, kernel, address: Endpoint, metrics, beliefs, group, log
+        self,
+        kernel,
+        address: Endpoint,
+        metrics,
+        beliefs,
+        group,
+        find_left_out,
+        log,
     ):
         super().__init__(kernel)
         self._address = address
         self._metrics = metrics
         self._beliefs = beliefs
         self._group = group
+        self._find_left_out = find_left_out
         self._log = log
         self._server = HttpServer(self._answer)
 
@@ -37,7 +48,9 @@
         if path != METRICS_PATH:
             return HttpAnswer(HTTP_NOT_FOUND, b'', {})
         self._measure()
-        return HttpAnswer(HTTP_OK, self._metrics.text().encode(), {})
+        left_out = self._find_left_out()
+        text = self._metrics.text() + (left_out.text() if left_out else '')
+        return HttpAnswer(HTTP_OK, text.encode(), {})
 
     def _measure(self):
         """Set the gauges, which are read off the state when asked for."""
@@ -56,6 +69,8 @@
         gauges['domains_evacuated'] = len(state.evacuated or ())
         gauges['knowledge_age_ms'] = now_ms - spread.known_as_of_ms()
         gauges['reads_store'] = int(spread.is_reading)
+        left_out = self._find_left_out()
+        gauges['objects_left_out'] = len(left_out.objects) if left_out else 0
         gauges['log_lines_lost'] = self._log.lost_in_all
 
     async def stop(self):
--- a/src/liftmount/_internal/services/packet_path.py
+++ b/src/liftmount/_internal/services/packet_path.py
@@ -204,12 +204,6 @@
                         self._codec.forwarded(action),
                         action.target.endpoint.socket_address(),
                     )
-                case flows.Placed():
-                    self._log_placed(action)
-                case flows.Answered():
-                    self._counters.observe(
-                        'open_ms', action.latency_ms, action.route.name
-                    )
                 case flows.Refuse():
                     self._refuse(action)
                 case flows.Drop():
@@ -224,6 +218,31 @@
                     self._doubt(action)
                 case target_health.TargetSeen():
                     self._assess(action)
+                case _:
+                    self._note(action)
+
+    def _note(self, action):
+        """Count and log what asks for nothing else."""
+        match action:
+            case flows.Placed():
+                self._log_placed(action)
+            case flows.Answered():
+                self._counters.observe(
+                    'open_ms', action.latency_ms, action.route.name
+                )
+            case flows.TargetRestarted():
+                self._log_restarted(action)
+
+    def _log_restarted(self, action):
+        self._counters.count('targets_restarted')
+        self._log.write(
+            'targets',
+            'restarted',
+            target=action.target.name,
+            started_wall_ms=action.target.started_wall_ms,
+            flows=action.flows,
+            requests=action.requests,
+        )
 
     def _want_probe(self, action):
         if is_probe_wanted(self.state, action.target):
--- a/src/liftmount/platform/documents.py
+++ b/src/liftmount/platform/documents.py
@@ -6,6 +6,7 @@
 from attrs import Factory
 
 from liftmount._internal.exceptions import PlatformError
+from liftmount._internal.exceptions import StoredObjectError
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import StoredObject
@@ -41,33 +42,53 @@
 
 
 def read_document(path: str, body: bytes) -> dict:
-    """Read the body of an answer; raises PlatformError naming the call."""
+    """Read the body of an answer; raises PlatformError naming the call.
+
+    What one writer left in it that can't be read is None.
+    """
     try:
         document = json.loads(body)
-    except ValueError as error:
-        raise PlatformError(f'{path}: not JSON: {error}') from error
+    except (ValueError, RecursionError):
+        # Hardly ever needed, and a start does without.
+        from liftmount.platform.salvage import salvaged
+
+        document = salvaged(body.decode(errors='replace'))
     if type(document) is not dict:
         raise PlatformError(f'{path}: expected fields')
     return document
 
 
-def read_list(kind: str, page: dict) -> Listing:
-    """Read one page of a list; raises PlatformError."""
-    items = tuple(read_object(kind, one) for one in _list(page, 'items'))
-    return Listing(items, _revision(page))
+def read_list(kind: str, page: dict, report) -> Listing:
+    """Read one page of a list; raises PlatformError.
+
+    ``report(error)`` hears of each item that names no object.
+    """
+    items = []
+    for index, one in enumerate(_list(page, 'items')):
+        try:
+            items.append(read_object(kind, one))
+        except PlatformError as error:
+            report(StoredObjectError(kind, f'items[{index}]', one, str(error)))
+    return Listing(tuple(items), _revision(page))
 
 
-def read_changes(kind: str, page: dict, base: int) -> Delta:
-    """Read the answer of a watch; raises PlatformError."""
+def read_changes(kind: str, page: dict, base: int, report) -> Delta:
+    """Read the answer of a watch; raises PlatformError.
+
+    ``report(error)`` hears of each event that names no object.
+    """
     latest = {}
     revisions = []
-    for event in _list(page, 'events'):
-        if type(event) is not dict:
-            raise PlatformError('an event without fields')
-        stored = read_object(kind, event.get('object'))
+    for index, event in enumerate(_list(page, 'events')):
+        try:
+            stored, is_gone = _read_event(kind, event)
+        except PlatformError as error:
+            path = f'events[{index}]'
+            report(StoredObjectError(kind, path, event, str(error)))
+            continue
         revisions.append(stored.version)
         # Only the last state of each object matters.
-        latest[stored.name] = None if event.get('tombstone') else stored
+        latest[stored.name] = None if is_gone else stored
     written = tuple(one for one in latest.values() if one is not None)
     removed = tuple(name for name, one in latest.items() if one is None)
     return Delta(
@@ -75,6 +96,13 @@
     )
 
 
+def _read_event(kind, event):
+    if type(event) is not dict:
+        raise PlatformError('an event without fields')
+    stored = read_object(kind, event.get('object'))
+    return stored, bool(event.get('tombstone'))
+
+
 def _list(page, field):
     value = page.get(field, [])
     if type(value) is not list:
@@ -108,6 +136,7 @@
 class ListPages:
     """The pages of a list that have come so far.
 
+    ``report(error)`` hears of each item that names no object.
     ``revision`` is that of the oldest page.  What changed between two pages
     is watched for from there on; the newest page's would skip it, and pages
     that may lag can be seconds apart.  ``began_ms`` is when the first page
@@ -115,6 +144,7 @@
     """
 
     kind: str
+    report: object
     items: list = Factory(list)
     revision: int | None = None
     began_ms: int | None = None
@@ -126,12 +156,15 @@
         """
         if self.began_ms is None:
             self.began_ms = began_ms
-        listing = read_list(self.kind, page)
+        listing = read_list(self.kind, page, self.report)
         self.items += listing.items
         if self.revision is None or listing.revision < self.revision:
             self.revision = listing.revision
-        if not page.get('more_pages') or not listing.items:
+        if not page.get('more_pages'):
             return ''
+        if not listing.items:
+            # Where to go on is not known, and the rest must not seem gone.
+            raise PlatformError(f'{self.kind}: a page without any name')
         return listing.items[-1].name
 
     def listing(self, now_ms: int) -> Listing:
--- a/src/liftmount/platform/feeds.py
+++ b/src/liftmount/platform/feeds.py
@@ -4,6 +4,8 @@
 from liftmount._internal.models.feeds import EVACUATIONS
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
 from liftmount.platform.objects import CONFIGURATION_KIND
 from liftmount.platform.objects import EVACUATION_KIND
 from liftmount.platform.objects import read_evacuated
@@ -19,16 +21,35 @@
 }
 
 
-def decode_all(stored, read, report) -> tuple:
+@message
+class Decoded(Message):
+    """What stored objects hold, and the names of those that hold nothing."""
+
+    good: tuple
+    bad: tuple[str, ...]
+
+
+def decode_all(stored, read, note) -> Decoded:
     """Turn stored objects into types of the project.
 
-    ``read(name, spec)`` raises StoredObjectError; ``report(error)`` hears
-    of the objects that are left out for it.
+    ``read(name, spec, report)`` raises StoredObjectError if it can use
+    nothing of an object, and reports what it passes over of others.
+    ``note(key, revision, problems)`` hears of all that is wrong with an
+    object, maybe of nothing.
     """
-    decoded = []
+    good = []
+    bad = []
     for one in stored:
+        problems = []
         try:
-            decoded.append(read(one.name, one.value))
+            good.append(read(one.name, one.value, problems.append))
         except StoredObjectError as error:
-            report(error)
-    return tuple(decoded)
+            problems.append(error)
+            bad.append(one.name)
+        note(one.key, one.version, problems)
+    return Decoded(tuple(good), tuple(bad))
+
+
+def note_nameless(note):
+    """Return what notes a part of an answer that names no object."""
+    return lambda error: note(error.name, 0, [error])
--- a/src/liftmount/platform/first_lists.py
+++ b/src/liftmount/platform/first_lists.py
@@ -22,24 +22,30 @@
 from liftmount.platform.documents import ListPages
 from liftmount.platform.documents import read_document
 from liftmount.platform.feeds import decode_all
+from liftmount.platform.feeds import note_nameless
 
 
 class FirstList:
     """A list of one kind, page by page, over a connection of its own.
 
-    ``read`` and ``report`` are those of a StoreFeed.  A lagging answer is
+    ``read`` and ``note`` are those of a StoreFeed.  A lagging answer is
     good enough: what changed since is watched for from its revision on.
     """
 
     def __init__(
-        self, address: Endpoint, clock: Clock, kind: str, read, report
+        self,
+        address: Endpoint,
+        clock: Clock,
+        kind: str,
+        read,
+        note,
     ):
         self._address = address
         self._clock = clock
         self._kind = kind
         self._read = read
-        self._report = report
-        self._pages = ListPages(kind)
+        self._note = note
+        self._pages = ListPages(kind, note_nameless(note))
         self._after = ''
         self.is_asked = False
         self.socket = make_socket(SOCK_STREAM)
@@ -94,5 +100,5 @@
 
     def _listing(self):
         stored = self._pages.listing(self._clock.now_ms())
-        items = decode_all(stored.items, self._read, self._report)
-        return changed(stored, items=items, may_lag=True)
+        decoded = decode_all(stored.items, self._read, self._note)
+        return changed(stored, items=decoded.good, may_lag=True)
--- a/src/liftmount/platform/objects.py
+++ b/src/liftmount/platform/objects.py
@@ -1,5 +1,7 @@
 """Objects of the platform's store, turned into the project's types."""
 
+from attrs import define
+
 from liftmount._internal.exceptions import StoredObjectError
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.addresses import parse_endpoint
@@ -13,12 +15,19 @@
 CONFIGURATION_KIND = 'config'
 TARGET_KIND = 'servers'
 EVACUATION_KIND = 'evacuations'
+# The one object of its kind that holds routes.
+CONFIGURATION_NAME = 'main'
 DRAINING = 'draining'
+TARGET_STATES = ('ready', DRAINING)
 ROUTE_KINDS = {
     'idempotent': RouteKind.REPEATABLE,
     'non_idempotent': RouteKind.AT_MOST_ONCE,
     'download': RouteKind.DOWNLOAD,
+    'upload': RouteKind.UPLOAD,
 }
+# Where no limit can be read: a flow that is forgotten later than it might be
+# takes memory, and nothing else.
+IDLE_LIMIT_MS = 60_000
 HEX_DIGITS = 16
 LONGEST_NUMBER = 16
 MS_PER_S = 1_000
@@ -62,6 +71,12 @@
             raise self.error(field, 'expected a number from 0 on')
         return value
 
+    def whole(self, field: str, default: int | None = None) -> int:
+        """Return a whole number from 0 on."""
+        if type(self._document.get(field, default)) is not int:
+            raise self.error(field, 'expected a whole number')
+        return self.number(field, default)
+
     def texts(self, field: str) -> list[str]:
         """Return a list of texts, maybe none."""
         value = self._document.get(field) or []
@@ -71,14 +86,27 @@
             raise self.error(field, 'expected a list of texts')
         return value
 
-    def parts(self, field: str) -> list:
-        """Return the fields of each document in a list."""
-        value = self._document.get(field, [])
+    def one_of(self, field: str, choices) -> str:
+        """Return a text that is one of ``choices``."""
+        value = self.text(field)
+        if value not in choices:
+            raise self.error(field, f'expected one of {list(choices)}')
+        return value
+
+    def documents(self, field: str) -> list:
+        """Return what a list holds, whatever that is."""
+        value = self._document.get(field)
         if type(value) is not list:
             raise self.error(field, 'expected a list')
+        return value
+
+    def parts(self, field: str) -> list:
+        """Return the fields of each document in a list, maybe none."""
+        if field not in self._document:
+            return []
         return [
             Fields(self.name, one, f'{self.path}{field}[{index}].')
-            for index, one in enumerate(value)
+            for index, one in enumerate(self.documents(field))
         ]
 
     def numbers(self, field: str) -> list[int]:
@@ -122,7 +150,16 @@
             raise self.error(field, str(error)) from error
 
 
-def read_evacuated(name: str, _spec) -> str:
+@define
+class _Service:
+    """What a configuration says of a service; it may state no rate."""
+
+    name: str
+    health_path: str
+    warm_up: WarmUp | None
+
+
+def read_evacuated(name: str, _spec, _report) -> str:
     """Return the failure domain that an object asks to evacuate.
 
     The object's name says it all; whatever else it holds is passed over.
@@ -130,18 +167,26 @@
     return name
 
 
-def read_target(name: str, spec) -> TargetEntry:
-    """Read the entry that a target keeps of itself."""
+def read_target(name: str, spec, _report) -> TargetEntry:
+    """Read the entry that a target keeps of itself.
+
+    Anybody may write one.  What lacks a field that targets write, or holds
+    one of another type, names no target: StoredObjectError.
+    """
     fields = Fields(f'{TARGET_KIND}/{name}', spec)
+    fields.text('version')
+    fields.number('sequence')
     return TargetEntry(
         name=name,
         number=_target_number(name),
         service=fields.text('backend'),
         endpoint=fields.endpoint('address'),
         failure_domain=fields.text('zone'),
-        slots=max(1, fields.number('capacity', 1)),
-        draining=fields.text('state') == DRAINING,
-        warm_up_ms=fields.number('warmup_left_ms', 0),
+        slots=max(1, fields.number('capacity')),
+        draining=fields.one_of('state', TARGET_STATES) == DRAINING,
+        warm_up_ms=fields.number('warmup_left_ms'),
+        # Not every platform says when a target started.
+        started_wall_ms=fields.whole('born', 0),
     )
 
 
@@ -158,39 +203,84 @@
     return number
 
 
-def read_routes(name: str, spec) -> RouteTable:
-    """Read a configuration; of two routes to one address the first holds."""
+def read_routes(name: str, spec, report) -> RouteTable:
+    """Read a configuration; of two routes to one address the first holds.
+
+    ``report(error)`` hears of each route, service or limit that is left out
+    as it can't be read; the others hold.  Without a version or a list of
+    routes there is no configuration: StoredObjectError.
+    """
     fields = Fields(f'{CONFIGURATION_KIND}/{name}', spec)
+    if name != CONFIGURATION_NAME:
+        message = f'expected {CONFIGURATION_NAME}'
+        raise StoredObjectError(CONFIGURATION_KIND, 'name', name, message)
     routes = {}
-    for one in fields.parts('routes'):
-        route = _read_route(one)
+    for route in _read_parts(fields, 'routes', _read_route, report):
         routes.setdefault(route.address, route)
-    services = fields.parts('backends')
-    paths = {
-        one.text('name'): one.text('health_check_path') for one in services
-    }
-    warm_ups = {one.text('name'): _read_warm_up(one) for one in services}
-    limits = fields.part('limits')
+    services = _read_services(fields, report)
     return RouteTable(
         version=fields.number('version'),
         routes=routes,
-        health_paths=paths,
-        idle_limit_ms=limits.number('idle_timeout_ms'),
-        warm_ups={name: one for name, one in warm_ups.items() if one.per_s},
+        health_paths={one.name: one.health_path for one in services},
+        idle_limit_ms=_read_idle_limit(fields, report),
+        warm_ups={one.name: one.warm_up for one in services if one.warm_up},
     )
 
 
-def _read_warm_up(fields):
-    return WarmUp(
+def _read_parts(fields, field, read, report):
+    """Return what can be read of a list, in its order."""
+    found = []
+    for index, document in enumerate(fields.documents(field)):
+        path = f'{fields.path}{field}[{index}].'
+        try:
+            found.append(read(Fields(fields.name, document, path), report))
+        except StoredObjectError as error:
+            report(error)
+    return found
+
+
+def _read_services(fields, report):
+    try:
+        return _read_parts(fields, 'backends', _read_service, report)
+    except StoredObjectError as error:
+        report(error)
+        return []
+
+
+def _read_idle_limit(fields, report):
+    try:
+        return fields.part('limits').number('idle_timeout_ms')
+    except StoredObjectError as error:
+        report(error)
+        return IDLE_LIMIT_MS
+
+
+def _read_service(fields, _report):
+    warm_up = WarmUp(
         per_s=fields.fraction('warmup_per_s', 0),
         lasts_ms=round(MS_PER_S * fields.fraction('warmup_s', 0)),
     )
+    return _Service(
+        name=fields.text('name'),
+        health_path=fields.text('health_check_path'),
+        warm_up=warm_up if warm_up.per_s else None,
+    )
 
 
-def _read_route(fields):
+def _read_kind(fields, report):
+    """Return the kind of a route.
+
+    What the requests of a kind that is not known allow is not known either:
+    they get the strictest promise.
+    """
     kind = ROUTE_KINDS.get(fields.text('type'))
-    if kind is None:
-        raise fields.error('type', f'expected one of {sorted(ROUTE_KINDS)}')
+    if kind is not None:
+        return kind
+    report(fields.error('type', f'expected one of {sorted(ROUTE_KINDS)}'))
+    return RouteKind.AT_MOST_ONCE
+
+
+def _read_route(fields, report):
     shares = [
         ServiceShare(one.text('backend'), one.number('weight'))
         for one in fields.parts('weighted_backends')
@@ -200,7 +290,7 @@
     return Route(
         name=fields.text('name'),
         address=_read_address(fields),
-        kind=kind,
+        kind=_read_kind(fields, report),
         shares=tuple(shares),
         priority=fields.number('priority', 0),
         objective_ms=fields.number('target_latency_ms', 0),
--- a/src/liftmount/platform/start.py
+++ b/src/liftmount/platform/start.py
@@ -35,7 +35,7 @@
     early.stops = stops
     lists = {
         feed: FirstList(
-            settings.store, early.clock, kind, read, early.refuse_object
+            settings.store, early.clock, kind, read, early.note_problems
         )
         for feed, (kind, read) in SOURCES.items()
     }
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -49,7 +49,8 @@
 
     It offers what ``_internal.store.interface.ObjectStore`` asks for.
     ``count`` hears of each call; calls go over a connection each, which
-    is kept for the next one.
+    is kept for the next one.  ``report(error)`` hears of parts of lists and
+    watches that name no object.
     """
 
     def __init__(
@@ -58,11 +59,13 @@
         timeout_ms: float = TIMEOUT_MS,
         count=None,
         local_ip: str = '',
+        report=None,
     ):
         self._addresses = list(addresses)
         self._timeout_ms = timeout_ms
         self._count = count
         self._local_ip = local_ip
+        self._report = report or (lambda _error: None)
         self._clock = Clock()
         self._idle = []
         self._in_use = set()
@@ -98,7 +101,7 @@
 
         Each page has to begin to arrive within ``timeout_ms``.
         """
-        pages = ListPages(kind)
+        pages = ListPages(kind, self._report)
         after = ''
         while True:
             path = list_path(kind, after, may_lag)
@@ -122,7 +125,7 @@
         query = {'watch': revision, 'wait_ms': wait_ms}
         limit_ms = timeout_ms or wait_ms + WATCH_MARGIN_MS
         page = await self._read(object_path(kind, query), limit_ms)
-        delta = read_changes(kind, page.document, revision)
+        delta = read_changes(kind, page.document, revision, self._report)
         return changed(delta, age_ms=page.lasted_ms)
 
     async def _read(self, path, timeout_ms):
--- a/src/liftmount/platform/store_feed.py
+++ b/src/liftmount/platform/store_feed.py
@@ -5,7 +5,9 @@
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.records import changed
+from liftmount._internal.utils.metrics import Metrics
 from liftmount.platform.feeds import decode_all
+from liftmount.platform.feeds import note_nameless
 from liftmount.platform.feeds import SOURCES
 from liftmount.platform.store import PlatformStore
 
@@ -13,21 +15,21 @@
 class StoreFeed:
     """Follows the objects of one kind over a connection of its own.
 
-    ``read(name, spec)`` turns an object into a type of the project and
-    raises StoredObjectError; ``report(error)`` hears of what it refused.
+    ``read`` and ``note`` are as in decode_all.  An object that can't be
+    used counts as if it were not there.
     """
 
-    def __init__(self, store: PlatformStore, kind: str, read, report):
+    def __init__(self, store: PlatformStore, kind: str, read, note):
         self._store = store
         self._kind = kind
         self._read = read
-        self._report = report
+        self._note = note
 
     async def fetch(self, may_lag: bool, timeout_ms: float) -> Listing:
         """Return all objects of the kind; raises PlatformError."""
         listing = await self._store.list(self._kind, may_lag, timeout_ms)
-        items = self._decode(listing.items)
-        return changed(listing, items=items, may_lag=may_lag)
+        decoded = self._decode(listing.items)
+        return changed(listing, items=decoded.good, may_lag=may_lag)
 
     async def watch(
         self, revision: int, wait_ms: int, timeout_ms: float
@@ -39,7 +41,14 @@
         delta = await self._store.watch(
             self._kind, revision, wait_ms, timeout_ms
         )
-        return changed(delta, written=self._decode(delta.written))
+        decoded = self._decode(delta.written)
+        for name in delta.removed:
+            self._note(f'{self._kind}/{name}', delta.revision, ())
+        return changed(
+            delta,
+            written=decoded.good,
+            removed=(*delta.removed, *decoded.bad),
+        )
 
     def set_address(self, address: Endpoint) -> None:
         """Call another address from the next call on."""
@@ -50,17 +59,18 @@
         self._store.close()
 
     def _decode(self, stored):
-        return decode_all(stored, self._read, self._report)
+        return decode_all(stored, self._read, self._note)
 
 
-def make_feeds(settings: EntrySettings, report, metrics) -> dict:
+def make_feeds(settings: EntrySettings, note, metrics: Metrics) -> dict:
     """Return the feeds of all kinds by name."""
 
     def feed(kind, read):
         store = PlatformStore(
             [settings.store],
             count=lambda: metrics.count(f'store_calls.{kind}'),
+            report=note_nameless(note),
         )
-        return StoreFeed(store, kind, read, report)
+        return StoreFeed(store, kind, read, note)
 
     return {name: feed(*source) for name, source in SOURCES.items()}
--- a/tests/features/decisions/beliefs.feature
+++ b/tests/features/decisions/beliefs.feature
@@ -61,6 +61,18 @@
       | written, listed without, wait 2600                 | gone     |
       | written, old list without, wait 2600               | believed |
 
+  Scenario Outline: A start that was heard of is not taken back by what is told late
+    When a target of start 5 is told at revision 20, and of start <start> at revision <revision>
+    Then start <believed> is believed
+
+    Examples:
+      | start | revision | believed |
+      | 7     | 21       | 7        |
+      | 3     | 21       | 3        |
+      | 3     | 19       | 5        |
+      | 7     | 19       | 5        |
+      | 0     | 21       | 0        |
+
   Scenario Outline: What a peer doubts is doubted here, for as long
     Given a peer that heard of a target: <peer>
     When the store tells in this order: <events>
--- a/tests/features/decisions/forwarding.feature
+++ b/tests/features/decisions/forwarding.feature
@@ -192,6 +192,31 @@
       | 800  | forwarded to near-1, and its target is asked again |
       | 4000 | forwarded to near-1, and its target is asked again |
 
+  Scenario Outline: A target that started again under its name holds no flow of before
+    Given client 1 has an open flow to 198.51.0.1:8443
+    And client 2 asked the target of client 1, and has its answer
+    When the target of client 1 is told to have started <start>
+    Then it is sent again <requests> requests, and <flows> flows are forgotten
+    And no reset was sent
+
+    Examples:
+      | start         | requests | flows |
+      | again         | 1        | 2     |
+      | as before     | 0        | 0     |
+      | at no time    | 0        | 0     |
+
+  Scenario: What was known of an earlier start does not count for the next one
+    Given the target near-1 was judged dead 100 ms ago
+    When near-1 is told to have started again
+    Then near-1 is alive, idle and gets the next flows of guide
+    And data of client 1 for near-1 is forwarded
+
+  Scenario: A flow that opened since a new start goes on
+    Given client 1 has an open flow to 198.51.0.1:8443
+    When the target of client 1 is told to have started again
+    Then data of client 1 goes where it went
+    And no reset was sent
+
   Scenario: With all targets dead new flows still go somewhere
     When all targets of guide are judged dead
     And client 3 opens a flow to 198.51.0.1:8443
--- /dev/null
+++ b/tests/features/steps/pieces_steps.py
@@ -0,0 +1,214 @@
+"""Steps on answers of the store that hold pieces of other writers."""
+
+import json
+
+from behave import then
+from behave import when
+import cbor2
+from hypothesis import given as given_values
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.exceptions import PlatformError
+from liftmount._internal.models import knowledge as wire
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.feeds import Knowledge
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import RouteTable
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.services.left_out import LeftOut
+from liftmount._internal.utils.metrics import Metrics
+from liftmount._internal.utils.structured import StructuredLog
+from liftmount.platform import documents
+from liftmount.platform import objects
+from liftmount.platform.feeds import decode_all
+from liftmount.platform.feeds import note_nameless
+from tests.features.steps.adapter_steps import CONFIGURATION
+from tests.features.steps.adapter_steps import ENTRY
+from tests.features.steps.adapter_steps import JSON
+from tests.features.steps.adapter_steps import read_or_error
+
+REVISION = 9
+DEEPER_THAN_READ = 20_000
+GOOD = json.dumps({'meta': {'name': 'i-1', 'revision': 3}, 'spec': ENTRY})
+BAD = '{"meta": {"name": "i-bad", "revision": 4}, "spec": %s}'
+ITEMS = {
+    'null': 'null',
+    '5': '5',
+    'an item without meta': '{"spec": {}}',
+    'an item without a name': '{"meta": {"revision": 4}}',
+    'a revision that is text': (
+        '{"meta": {"name": "i-bad", "revision": "four"}, "spec": {}}'
+    ),
+    'an entry without fields': BAD % 'null',
+    'an entry that is text': BAD % '"me"',
+    'an entry of bytes': BAD % '"\udcff\udcfe"',
+    'an entry of broken JSON': BAD % '{"state": ready, "x": [1, ]}',
+    'an entry nested deeply': BAD
+    % ('[' * DEEPER_THAN_READ + ']' * DEEPER_THAN_READ),
+    'an entry with a line break': BAD % '{"zone": "a\nb"}',
+}
+
+
+class Pieces:
+    """Reads answers as a feed does; keeps what was left out."""
+
+    def __init__(self):
+        self.metrics = Metrics()
+        self.left_out = LeftOut(StructuredLog(Clock()), self.metrics)
+
+    def read(self, read, body, *arguments):
+        """Read the body of an answer with one function of documents."""
+        page = documents.read_document('/objects/servers', body)
+        kind = objects.TARGET_KIND
+        report = note_nameless(self.left_out.note)
+        return read(kind, page, *arguments, report)
+
+    def decode(self, stored):
+        """Return what stored entries of targets hold."""
+        return decode_all(stored, objects.read_target, self.left_out.note)
+
+
+def body_of(field, pieces):
+    """Return the bytes of an answer; a lone surrogate is one bad byte."""
+    text = f'{{"{field}": [{", ".join(pieces)}], "current_rev": {REVISION}}}'
+    return text.encode(errors='surrogateescape')
+
+
+@when('a list holds a good entry and {item}')
+def list_holds(context, item):
+    context.pieces = Pieces()
+    body = body_of('items', [ITEMS[item], GOOD])
+    listing = context.pieces.read(documents.read_list, body)
+    assert listing.revision == REVISION, listing
+    context.decoded = context.pieces.decode(listing.items)
+
+
+@when('a watch tells of a good entry and {item}')
+def watch_tells(context, item):
+    context.pieces = Pieces()
+    events = [
+        f'{{"object": {one}, "tombstone": false}}' if one != 'null' else one
+        for one in (ITEMS[item], GOOD)
+    ]
+    body = body_of('events', events)
+    delta = context.pieces.read(documents.read_changes, body, 0)
+    context.decoded = context.pieces.decode(delta.written)
+
+
+@then('the good entry is read, and {left_out} is left out')
+def good_is_read(context, left_out):
+    assert [one.name for one in context.decoded.good] == ['i-1']
+    (key,) = context.pieces.left_out.objects
+    (field,) = context.pieces.left_out.objects[key].fields
+    assert left_out in (key, field), (key, field)
+
+
+@then('the target of the bad entry is told as removed')
+def told_as_removed(context):
+    assert context.decoded.bad == ('i-bad',), context.decoded
+
+
+@when('a page of a list that goes on names nothing')
+def page_names_nothing(context):
+    pages = documents.ListPages(objects.TARGET_KIND, [].append)
+    page = {'items': [None], 'more_pages': True, 'current_rev': REVISION}
+    context.result = read_or_error(pages.add, page, 0)
+
+
+@then('the list is refused, and nothing seems gone')
+def list_refused(context):
+    assert isinstance(context.result, PlatformError), context.result
+
+
+@when('an object is refused {first:d} times at revision {one:d} and '
+      '{second:d} times at revision {two:d}')  # fmt: skip
+def refused_again(context, first, one, second, two):
+    context.pieces = Pieces()
+    for revision in [one] * first + [two] * second:
+        document = {'meta': {'name': 'i-"x"', 'revision': revision}}
+        stored = documents.read_object(objects.TARGET_KIND, document)
+        context.pieces.decode([stored])
+
+
+@then('{count:d} lines tell of it, and the metrics name object and field')
+def lines_tell(context, count):
+    total = context.pieces.metrics.totals['refused.invalid_object']
+    assert total == count, total
+    text = context.pieces.left_out.text()
+    wanted = 'liftmount_left_out{object="servers/i-\\"x\\"",field=""} 1\n'
+    assert text == wanted, text
+
+
+@when('the object is read well again')
+def read_well(context):
+    meta = {'name': 'i-"x"', 'revision': 6}
+    document = {'meta': meta, 'spec': ENTRY}
+    stored = documents.read_object(objects.TARGET_KIND, document)
+    decode_all(
+        [stored], lambda *_arguments: stored, context.pieces.left_out.note
+    )
+
+
+@then('the metrics name it no more')
+def named_no_more(context):
+    assert context.pieces.left_out.text() == ''
+
+
+@when('a configuration of another name is read')
+def other_name(context):
+    context.result = read_or_error(
+        objects.read_routes, 'other', CONFIGURATION, [].append
+    )
+
+
+@when('a member hands over a route of the kind {kind}')
+def member_hands_over(context, kind):
+    address = parse_endpoint('198.51.100.1:8443')
+    route = Route(
+        'one', address, RouteKind.UPLOAD, (ServiceShare('guide', 1),), 0, 0
+    )
+    table = RouteTable(7, {address: route}, {}, 15_000)
+    data = wire.encode_knowledge(Knowledge((), 0, table, 3))
+    document = cbor2.loads(wire.zlib.decompress(data))
+    document[2][1][0][2] = kind
+    told = wire.zlib.compress(cbor2.dumps(document))
+    context.told = wire.decode_knowledge(told).table
+
+
+@then('it is served as {kind}')
+def served_as(context, kind):
+    (route,) = context.told.routes.values()
+    assert route.kind is RouteKind(kind), route
+
+
+@when('{count:d} lists hold good entries among random pieces')
+def random_pieces(context, count):
+    context.lists = 0
+    whole = strategies.builds(json.dumps, JSON)
+    # Cut short, so that no rule of JSON holds in them; brackets and quotes
+    # that don't close would hide where the next piece begins.
+    broken = strategies.text('abc 0:+-.\udcff\n', min_size=1, max_size=9)
+    piece = whole | broken | strategies.sampled_from(list(ITEMS.values()))
+
+    @hypothesis_settings(
+        max_examples=count, deadline=None, derandomize=True, database=None
+    )
+    @given_values(strategies.lists(piece, max_size=4))
+    def check(others):
+        body = body_of('items', [*others, GOOD, *others])
+        pieces = Pieces()
+        listing = pieces.read(documents.read_list, body)
+        names = [one.name for one in pieces.decode(listing.items).good]
+        assert names == ['i-1'], names
+        context.lists += 1
+
+    check()
+
+
+@then('each good entry was read')
+def good_were_read(context):
+    # What was not has failed the step before.
+    assert context.lists > 0
