Take silence over a busy own link for a suspicion, and no proof

Cause: uploads fill the link of a small balancer (2 Mbit/s); probes take 121 to 252 ms where 6 are usual, four silent ones reset flows of targets that live, and four probes a doubt add to what fills the link. Change: bytes over the rate that the settings state tell when the link is busy; a target that is silent then is avoided after one probe, keeps its flows, and is proven dead only by four silent probes over a free link. Ruled out: voiding such probes (repeated at once, dead targets found late), holding back copies of openings.

--- a/src/liftmount/_internal/decisions/capacity.py
+++ b/src/liftmount/_internal/decisions/capacity.py
@@ -11,11 +11,11 @@
 such a proof after enough trials is taken for a queue.
 """
 
+from math import exp
+
 from attrs import define
 from attrs import Factory
 
-from liftmount._internal.utils.fading import fade
-
 INITIAL_LIMIT = 1
 MAX_LIMIT = 1_024
 # Trials at a level without a proof, before it is taken for a queue.
@@ -169,3 +169,11 @@
             self.busy = fade(self.busy, in_progress, elapsed_ms, self.fade_ms)
             self.updated_ms = now_ms
         return self.busy
+
+
+def fade(
+    mean: float, value: float, elapsed_ms: float, fade_ms: float
+) -> float:
+    """Return a mean after ``value`` held for ``elapsed_ms``."""
+    kept = exp(-elapsed_ms / fade_ms)
+    return mean * kept + value * (1.0 - kept)
--- a/src/liftmount/_internal/decisions/flow_table.py
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -193,7 +193,7 @@
 def may_open(state: ForwardingState, target: str, now_ms: int) -> bool:
     """Tell whether a target may get an opening once more."""
     load = load_of(state, target)
-    if load is None or state.health.is_dead(target):
+    if load is None or state.health.is_avoided(target):
         return False
     entry = state.tags.entries[target]
     return state.pool(entry.service).may_open(load, now_ms)
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -417,14 +417,14 @@
 
 def _info(state, event):
     entry = event.entry
-    is_dead = state.health.is_dead(entry.name)
+    is_avoided = state.health.is_avoided(entry.name)
     return TargetInfo(
         name=entry.name,
         failure_domain=entry.failure_domain,
         leaving=entry.draining,
         slots=entry.slots,
         warm_up_ms=entry.warm_up_ms,
-        last_choice=event.is_doubted or is_dead,
+        last_choice=event.is_doubted or is_avoided,
     )
 
 
@@ -452,7 +452,8 @@
     if entry is None:
         return []
     state.slots.pop(entry.service, None)
-    state.pool(entry.service).set_last_choice(event.name, event.is_dead)
+    is_avoided = event.is_dead or event.is_suspected
+    state.pool(entry.service).set_last_choice(event.name, is_avoided)
     if not event.is_dead:
         return []
     actions = []
--- a/src/liftmount/_internal/decisions/target_health.py
+++ b/src/liftmount/_internal/decisions/target_health.py
@@ -7,6 +7,11 @@
 over the same links.  Several are sent one soon after the other; a target
 is dead when none of them gets an answer, and alive at any answer.  A dead
 target is probed again at growing intervals.
+
+While the own link is busy, silence is no proof.  A target that is silent
+then is suspected: it gets new flows only when there is no other, keeps the
+ones it has, and is probed on until it answers or is proven dead over a link
+that is free.
 """
 
 from enum import Enum
@@ -24,6 +29,12 @@
 # Time between these probes: a verdict takes 60 ms more than one probe, and
 # a target that lives has mostly answered before a second one is sent.
 PROBE_GAP_MS = 20
+# How long a flow must have waited to speak against a target while the own
+# link is busy: clients send again after 200 ms what waited there.
+BUSY_PATIENCE_MS = 250
+# Intervals between probes of a suspected target while the link is busy.
+FIRST_SUSPECT_MS = 250
+LONGEST_SUSPECT_MS = 1_000
 # Intervals between probes of a dead target; a probe costs as much as a
 # tenth of a request, an outage lasts some seconds.
 FIRST_RETRY_MS = 700
@@ -48,13 +59,15 @@
 
     ALIVE = 'alive'
     PROBED = 'probed'
+    SUSPECTED = 'suspected'
     DEAD = 'dead'
 
 
 class ProbeResult(Enum):
     """How a probe ended.
 
-    ``REPLACED`` means that another target answered at the address, and
+    ``REPLACED`` means that another target answered at the address,
+    ``UNPROVEN`` that there was silence while the own link was busy, and
     ``VOID`` that this balancer was held up itself, so that silence says
     nothing.
     """
@@ -62,6 +75,7 @@
     ANSWERED = 'answered'
     REPLACED = 'replaced'
     SILENT = 'silent'
+    UNPROVEN = 'unproven'
     VOID = 'void'
 
 
@@ -107,6 +121,13 @@
     sent_ms: int
 
 
+@message
+class LinkSeen(Message):
+    """Whether the own link is busy."""
+
+    is_busy: bool
+
+
 @message
 class ProbeEnded(Message):
     """A probe of a target ended that was sent at ``sent_ms``."""
@@ -119,11 +140,15 @@
 
 @message
 class TargetJudged(Message):
-    """The belief about a target changed; ``probes`` led to it."""
+    """The belief about a target changed; ``probes`` led to it.
+
+    One that is neither dead nor suspected is alive.
+    """
 
     target: str
     is_dead: bool
     probes: int
+    is_suspected: bool = False
 
 
 @define
@@ -131,15 +156,17 @@
     """What is known of one target.
 
     ``doubted_ms`` is when the last doubt began, ``silent_probes`` counts
-    those sent since that got no answer, ``under_way`` those that have not
-    ended.  ``sent_ms`` and ``probed_ms`` are when the last one was sent and
-    when the last silent one ended.  Until ``trusted_ms`` it is not doubted,
-    after an answer that spoke for it for ``trust_ms``.
+    those sent since that got no answer, ``proofs`` those of them over a free
+    link, ``under_way`` those that have not ended.  ``sent_ms`` and
+    ``probed_ms`` are when the last one was sent and when the last silent one
+    ended.  Until ``trusted_ms`` it is not doubted, after an answer that
+    spoke for it for ``trust_ms``.
     """
 
     condition: Condition = Condition.ALIVE
     doubted_ms: int = 0
     silent_probes: int = 0
+    proofs: int = 0
     under_way: int = 0
     sent_ms: int = 0
     probed_ms: int = 0
@@ -155,17 +182,24 @@
     """Evidence on the targets that some flow spoke against.
 
     ``waiting`` are those that are not believed alive: only they need a
-    look at each tick.
+    look at each tick.  ``is_link_busy`` tells whether silence may be that of
+    the own link.
     """
 
     targets: dict[str, _Health] = Factory(dict)
     dead: set[str] = Factory(set)
+    suspected: set[str] = Factory(set)
     waiting: set[str] = Factory(set)
+    is_link_busy: bool = False
 
     def is_dead(self, target: str) -> bool:
         """Tell whether a target is believed dead."""
         return target in self.dead
 
+    def is_avoided(self, target: str) -> bool:
+        """Tell whether new flows should rather go elsewhere."""
+        return target in self.dead or target in self.suspected
+
     def is_proven_dead(self, target: str, now_ms: int) -> bool:
         """Tell whether a target is dead, and was found so of late."""
         if target not in self.dead:
@@ -176,6 +210,7 @@
         """Drop what is known of a target that is gone."""
         self.targets.pop(target, None)
         self.dead.discard(target)
+        self.suspected.discard(target)
         self.waiting.discard(target)
 
 
@@ -188,15 +223,20 @@
             return _seen(state, event)
         case ProbeEnded():
             return _probed(state, event)
+        case LinkSeen():
+            state.is_link_busy = event.is_busy
+            return []
         case Tick():
             return _tick(state, event.now_ms)
     raise TypeError(f'unknown event {event!r}')
 
 
 def _silent(state, event):
+    if state.is_link_busy and event.for_ms < BUSY_PATIENCE_MS:
+        return []
     health = state.targets.setdefault(event.target, _Health())
     match health.condition:
-        case Condition.PROBED:
+        case Condition.PROBED | Condition.SUSPECTED:
             return []
         case Condition.DEAD:
             return _prove_again(health, event)
@@ -205,6 +245,7 @@
     health.condition = Condition.PROBED
     health.doubted_ms = event.now_ms
     health.silent_probes = 0
+    health.proofs = 0
     health.under_way = 0
     state.waiting.add(event.target)
     return _probe(health, event.target, event.now_ms)
@@ -226,11 +267,12 @@
 
 
 def _alive(state, target, health):
-    was_dead = health.condition is Condition.DEAD
+    was_avoided = state.is_avoided(target)
     health.condition = Condition.ALIVE
     state.dead.discard(target)
+    state.suspected.discard(target)
     state.waiting.discard(target)
-    if not was_dead:
+    if not was_avoided:
         return []
     return [TargetJudged(target, False, health.silent_probes)]
 
@@ -250,15 +292,39 @@
         health.next_probe_ms = event.now_ms
         return []
     health.silent_probes += 1
-    health.probed_ms = event.now_ms
+    is_proof = event.result is not ProbeResult.UNPROVEN
+    if is_proof:
+        health.proofs += 1
+        health.probed_ms = event.now_ms
     if health.condition is Condition.DEAD:
         health.retry_ms = min(2 * health.retry_ms, LONGEST_RETRY_MS)
         health.next_probe_ms = event.now_ms + health.retry_ms
         return []
     is_replaced = event.result is ProbeResult.REPLACED
-    if health.silent_probes < PROBES_TO_DEAD and not is_replaced:
+    if health.proofs >= PROBES_TO_DEAD or is_replaced:
+        return _dead(state, event, health)
+    if health.condition is Condition.SUSPECTED:
+        _probe_suspect(health, is_proof, event.now_ms)
         return []
-    return _dead(state, event, health)
+    return [] if is_proof else _suspect(state, event, health)
+
+
+def _suspect(state, event, health):
+    """Avoid a target that is silent, until there is proof."""
+    health.condition = Condition.SUSPECTED
+    health.retry_ms = FIRST_SUSPECT_MS
+    health.next_probe_ms = event.now_ms + health.retry_ms
+    state.suspected.add(event.target)
+    return [TargetJudged(event.target, False, health.silent_probes, True)]
+
+
+def _probe_suspect(health, is_proof, now_ms):
+    """Go on at once while there is proof, else ever later."""
+    interval_ms = PROBE_GAP_MS
+    if not is_proof:
+        health.retry_ms = min(2 * health.retry_ms, LONGEST_SUSPECT_MS)
+        interval_ms = health.retry_ms
+    health.next_probe_ms = now_ms + interval_ms
 
 
 def _trust(health, now_ms):
@@ -274,6 +340,7 @@
     health.next_probe_ms = event.now_ms + health.retry_ms
     # What is still under way of a target that was replaced tells nothing.
     health.doubted_ms = event.now_ms
+    state.suspected.discard(event.target)
     state.dead.add(event.target)
     return [TargetJudged(event.target, True, health.silent_probes)]
 
@@ -288,15 +355,18 @@
     actions = []
     for target in state.waiting:
         health = state.targets[target]
-        if _is_due(health, now_ms):
+        if _is_due(health, state.is_link_busy, now_ms):
             actions += _probe(health, target, now_ms)
     return actions
 
 
-def _is_due(health, now_ms):
+def _is_due(health, is_link_busy, now_ms):
     """Tell whether another probe of a doubted or dead target is due."""
-    if health.condition is Condition.DEAD:
+    if health.condition is not Condition.PROBED:
         return not health.under_way and now_ms >= health.next_probe_ms
+    if is_link_busy and health.under_way:
+        # More of them would wait behind it.
+        return False
     sent = health.silent_probes + health.under_way
     is_spaced = now_ms - health.sent_ms >= PROBE_GAP_MS
     return sent < PROBES_TO_DEAD and is_spaced
--- a/src/liftmount/_internal/models/entry_settings.py
+++ b/src/liftmount/_internal/models/entry_settings.py
@@ -16,7 +16,8 @@
     than ``flow_max_age_ms`` may be forgotten; a planned stop may take
     ``stop_ms``.  A change of routes or targets has to be in force
     ``change_bound_ms`` after the store took it.  ``regions`` maps failure
-    domains to the region in which each lies.
+    domains to the region in which each lies.  ``link_megabits_per_s`` is the
+    rate of the own link each way, 0 if that is not known.
     """
 
     name: str
@@ -31,3 +32,4 @@
     stop_ms: int
     change_bound_ms: int
     regions: dict[str, str] = Factory(dict)
+    link_megabits_per_s: float = 0.0
--- a/src/liftmount/_internal/models/flow_messages.py
+++ b/src/liftmount/_internal/models/flow_messages.py
@@ -79,11 +79,15 @@
 
 @message
 class TargetDied(Message):
-    """A target answers no more, or does again."""
+    """A target answers no more, or does again.
+
+    One that ``is_suspected`` is only avoided.
+    """
 
     name: str
     is_dead: bool
     now_ms: int
+    is_suspected: bool = False
 
 
 @message
--- a/src/liftmount/_internal/services/entry.py
+++ b/src/liftmount/_internal/services/entry.py
@@ -170,7 +170,7 @@
                 self.kernel,
                 settings.metrics,
                 self.metrics,
-                self.path.beliefs,
+                self.path,
                 self.group,
                 lambda: self.early.left_out,
                 self.log,
@@ -203,6 +203,7 @@
             return
         after = self.settings
         self.path.state.flow_max_age_ms = after.flow_max_age_ms
+        self.path.link.megabits_per_s = after.link_megabits_per_s
         if self.group is not None and self.group.members is not None:
             self.group.set_seeds(after.seeds)
         if after.store != before.store:
--- a/src/liftmount/_internal/services/metrics_page.py
+++ b/src/liftmount/_internal/services/metrics_page.py
@@ -23,7 +23,7 @@
         kernel,
         address: Endpoint,
         metrics,
-        beliefs,
+        path,
         group,
         find_left_out,
         log,
@@ -31,7 +31,7 @@
         super().__init__(kernel)
         self._address = address
         self._metrics = metrics
-        self._beliefs = beliefs
+        self._path = path
         self._group = group
         self._find_left_out = find_left_out
         self._log = log
@@ -54,18 +54,22 @@
 
     def _measure(self):
         """Set the gauges, which are read off the state when asked for."""
-        state = self._beliefs.state
+        beliefs = self._path.beliefs
+        state = beliefs.state
         spread = self._group.spread
         now_ms = self.clock.now_ms()
         gauges = self._metrics.gauges
         gauges['flows'] = len(state.flows)
-        gauges['targets'] = len(self._beliefs.directory.entries)
+        gauges['targets'] = len(beliefs.directory.entries)
         gauges['targets_dead'] = len(state.health.dead)
-        gauges['targets_doubted'] = len(self._beliefs.directory.doubted)
+        gauges['targets_suspected'] = len(state.health.suspected)
+        gauges['link_busy'] = int(state.health.is_link_busy)
+        gauges['link_times_busy'] = self._path.link.times_busy
+        gauges['targets_doubted'] = len(beliefs.directory.doubted)
         gauges['configuration_version'] = (
             state.table.version if state.table else 0
         )
-        gauges['targets_revision'] = self._beliefs.directory.revision
+        gauges['targets_revision'] = beliefs.directory.revision
         gauges['domains_evacuated'] = len(state.evacuated or ())
         gauges['knowledge_age_ms'] = now_ms - spread.known_as_of_ms()
         gauges['reads_store'] = int(spread.is_reading)
--- a/src/liftmount/_internal/services/packet_path.py
+++ b/src/liftmount/_internal/services/packet_path.py
@@ -15,6 +15,7 @@
 from liftmount._internal.decisions.flow_table import domain_loads
 from liftmount._internal.decisions.flow_table import ForwardingState
 from liftmount._internal.decisions.flow_table import is_probe_wanted
+from liftmount._internal.decisions.own_link import OwnLink
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import Endpoint
@@ -28,14 +29,6 @@
 from liftmount._internal.utils.raw_sockets import SOCK_DGRAM
 from liftmount._internal.utils.raw_sockets import SOL_SOCKET
 
-# A transfer of this size keeps a link of 2 Mbit/s busy for 30 ms; while one
-# is under way, and for as long after it, silence of targets says nothing:
-# probes of a balancer that told 1,706 routes to its children on such a link
-# took up to 117 ms, and four silent ones reset flows of a living target.
-BULK_BYTES = 8_192
-# Answers of one page arrive at once on a link that is free.
-BULK_LASTS_MS = 30
-BULK_MS = 1_000
 TICK_MS = 20
 OVERFLOW_MS = 200
 RECEIVE_BYTES = 2_048
@@ -80,7 +73,7 @@
         self.leaving = None
         self.overflow = overflow.OverflowState()
         self.members = DomainMembers(1, False)
-        self.bulk_until_ms = 0
+        self.link = OwnLink(options.link_megabits_per_s)
         self.state = ForwardingState(
             options.failure_domain,
             options.flow_max_age_ms,
@@ -96,6 +89,9 @@
         self._log = log
         self._counters = counters
         self._next_overflow_ms = 0
+        # When what is decided on now came, which saves a look at the clock
+        # for each packet.
+        self._now_ms = 0
 
     def why_not_ready(self) -> str:
         """Return why no packets should come here; empty when they may."""
@@ -126,7 +122,7 @@
 
     def read(self) -> None:
         """Decide on the packets that wait, up to a batch of them."""
-        now_ms = self.clock.now_ms()
+        now_ms = self._now_ms = self.clock.now_ms()
         for _ in range(BATCH):
             try:
                 datagram = self.socket.recv(RECEIVE_BYTES)
@@ -136,6 +132,7 @@
                 # What an earlier datagram met; the next read goes on.
                 self._counters.count(f'socket_error.{error.errno}')
                 continue
+            self.link.received(len(datagram), now_ms)
             try:
                 segment = self._codec.read(datagram)
             except PacketError:
@@ -149,11 +146,25 @@
     def tick(self) -> None:
         """Let time pass."""
         tick = Tick(self.clock.now_ms())
+        self._now_ms = tick.now_ms
+        self._watch_link(tick.now_ms)
         self.execute(self.beliefs.pass_time(tick))
         self.execute(forwarding.decide(self.state, tick))
         self.execute(target_health.decide(self.state.health, tick))
         self._check_overflow(tick.now_ms)
 
+    def _watch_link(self, now_ms):
+        """Tell whether the own link filled, or is free again."""
+        is_busy = self.link.is_busy(now_ms)
+        if is_busy != self.state.health.is_link_busy:
+            self._assess(target_health.LinkSeen(is_busy))
+            self._log.write(
+                'link',
+                'busy' if is_busy else 'free',
+                inward_waits_ms=round(self.link.inward.waits_ms),
+                outward_waits_ms=round(self.link.outward.waits_ms),
+            )
+
     def _check_overflow(self, now_ms):
         """See whether the domain can carry its clients."""
         if now_ms < self._next_overflow_ms:
@@ -172,15 +183,14 @@
 
     def note_transfer(self, size_bytes: int = 0, lasted_ms: int = 0) -> None:
         """Note what the own link has carried beside packets."""
-        if size_bytes >= BULK_BYTES or lasted_ms >= BULK_LASTS_MS:
-            self.bulk_until_ms = self.clock.now_ms() + BULK_MS
+        self.link.transferred(size_bytes, lasted_ms, self.clock.now_ms())
 
     def end_probe(self, sent: target_health.SendProbe, result) -> None:
         """Judge a target by how a probe of it ended."""
         now_ms = self.clock.now_ms()
         is_silent = result is target_health.ProbeResult.SILENT
-        if is_silent and sent.sent_ms < self.bulk_until_ms:
-            result = target_health.ProbeResult.VOID
+        if is_silent and self.link.is_busy(sent.sent_ms):
+            result = target_health.ProbeResult.UNPROVEN
         self._log.write(
             'probes',
             'ended',
@@ -280,16 +290,22 @@
         self.execute(target_health.decide(self.state.health, event))
 
     def _judge(self, action):
-        event = 'dead' if action.is_dead else 'alive'
+        event = 'suspected' if action.is_suspected else 'alive'
+        if action.is_dead:
+            event = 'dead'
         self._log.write(
             'targets', event, target=action.target, probes=action.probes
         )
         died = flows.TargetDied(
-            action.target, action.is_dead, self.clock.now_ms()
+            action.target,
+            action.is_dead,
+            self.clock.now_ms(),
+            action.is_suspected,
         )
         self.execute(forwarding.decide(self.state, died))
 
     def _send(self, datagram, destination):
+        self.link.sent(len(datagram), self._now_ms)
         try:
             self.socket.sendto(datagram, destination)
         except BlockingIOError:
--- a/src/liftmount/platform/settings.py
+++ b/src/liftmount/platform/settings.py
@@ -83,4 +83,5 @@
             change_bound_ms, bounds.number('evacuate_ms', change_bound_ms)
         ),
         regions=fields.names('zones'),
+        link_megabits_per_s=fields.part('limits').fraction('link_mbps', 0),
     )
--- a/tests/features/steps/beliefs_steps.py
+++ b/tests/features/steps/beliefs_steps.py
@@ -45,6 +45,12 @@
                 event = Tick(now_ms)
             case ['silent']:
                 event = target_health.TargetSilent('one', now_ms)
+            case ['silent', waited]:
+                event = target_health.TargetSilent(
+                    'one', now_ms, for_ms=int(waited)
+                )
+            case ['link', state]:
+                event = target_health.LinkSeen(state == 'busy')
             case ['seen']:
                 event = target_health.TargetSeen('one', now_ms)
             case ['tick']:
@@ -86,7 +92,9 @@
 @then('{probes:d} probes were sent, and the target is {condition}')
 def target_condition(context, probes, condition):
     assert context.probes == probes, context.probes
-    assert context.health.is_dead('one') == (condition == 'dead')
+    health = context.health
+    assert health.is_dead('one') == (condition == 'dead')
+    assert health.is_avoided('one') == (condition in ('dead', 'suspected'))
 
 
 BELIEFS = {
--- /dev/null
+++ b/tests/features/steps/own_link_steps.py
@@ -0,0 +1,211 @@
+"""Steps on the own link: when it is busy, and what silence is worth then."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from liftmount._internal.decisions import target_health
+from liftmount._internal.decisions.own_link import OwnLink
+from liftmount._internal.models import flow_messages as flows
+from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.segments import Route
+from liftmount._internal.models.segments import RouteKind
+from liftmount._internal.models.segments import ServiceShare
+from liftmount._internal.models.ticks import Tick
+from tests.features.steps.forwarding_steps import Balancer
+from tests.features.steps.forwarding_steps import make_balancer
+from tests.features.steps.forwarding_steps import make_entry
+from tests.features.steps.forwarding_steps import make_table
+from tests.features.steps.forwarding_steps import send_data
+from tests.features.steps.forwarding_steps import START_MS
+from tests.features.steps.forwarding_steps import TICK_MS
+
+ADDRESS = '198.51.0.1:8443'
+UPLOAD_BYTES = 1_232
+# One packet of an upload each 5 ms is all that 2 Mbit/s carry.
+UPLOAD_GAP_MS = 5
+PROBE_TAKES_MS = 100
+RESEND_AFTER_MS = 400
+DEAD = 'one'
+
+
+@given('an own link of {rate:d} Mbit/s')
+def own_link(context, rate):
+    context.link = OwnLink(rate)
+    context.now_ms = START_MS
+
+
+@when('packets of {size:d} bytes come each {gap:d} ms for {lasts:d} ms, and '
+      '{later:d} ms pass')  # fmt: skip
+def packets_come(context, size, gap, lasts, later):
+    for _ in range(lasts // gap):
+        context.now_ms += gap
+        context.link.received(size, context.now_ms)
+    context.now_ms += later
+
+
+@when('packets of {size:d} bytes come and go each {gap:d} ms for {lasts:d} ms')
+def packets_pass(context, size, gap, lasts):
+    for _ in range(lasts // gap):
+        context.now_ms += gap
+        context.link.received(size, context.now_ms)
+        context.link.sent(size, context.now_ms)
+
+
+@then('the link is {state}')
+def link_is(context, state):
+    assert context.link.is_busy(context.now_ms) == (state == 'busy')
+
+
+@given('a target that was found dead, and a link that is busy since')
+def found_dead(context):
+    health = context.health = target_health.TargetHealth()
+    silent = target_health.ProbeResult.SILENT
+    target_health.decide(health, target_health.TargetSilent(DEAD, START_MS))
+    for _ in range(target_health.PROBES_TO_DEAD):
+        ended = target_health.ProbeEnded(DEAD, silent, START_MS, START_MS)
+        target_health.decide(health, ended)
+    assert health.is_proven_dead(DEAD, START_MS)
+    target_health.decide(health, target_health.LinkSeen(True))
+
+
+@when('the target is silent to a probe {later:d} ms later')
+def silent_later(context, later):
+    context.now_ms = START_MS + later
+    target_health.decide(context.health, Tick(context.now_ms))
+    unproven = target_health.ProbeResult.UNPROVEN
+    ended = target_health.ProbeEnded(
+        DEAD, unproven, context.now_ms, context.now_ms
+    )
+    target_health.decide(context.health, ended)
+
+
+@then('nothing proves that it is dead')
+def not_proven(context):
+    assert context.health.is_dead(DEAD)
+    assert not context.health.is_proven_dead(DEAD, context.now_ms)
+
+
+class LinkedBalancer(Balancer):
+    """A balancer with its link, and a target that may answer no probe."""
+
+    def __init__(self, rate, state):
+        super().__init__(state)
+        self.link = OwnLink(rate)
+        self.probes = []
+        self.result = target_health.ProbeResult.SILENT
+
+    def judge(self, event):
+        """Tell the evidence on targets of an event, and obey."""
+        self._obey(target_health.decide(self.state.health, event))
+
+    def _obey(self, actions):
+        for action in actions:
+            match action:
+                case target_health.SendProbe():
+                    self.probes.append(action)
+                case target_health.TargetJudged():
+                    died = flows.TargetDied(
+                        action.target,
+                        action.is_dead,
+                        self.now_ms,
+                        action.is_suspected,
+                    )
+                    self.feed(died)
+
+    def feed(self, event):
+        """Decide on an event; evidence goes where targets are judged."""
+        actions = super().feed(event)
+        for action in actions:
+            match action:
+                case target_health.TargetSilent():
+                    self.judge(action)
+                case target_health.TargetSeen():
+                    self.judge(action)
+        return actions
+
+    def run(self, lasts_ms, is_uploading):
+        """Let time pass, with uploads that fill the link or without."""
+        until_ms = self.now_ms + lasts_ms
+        while self.now_ms < until_ms:
+            for _ in range(TICK_MS // UPLOAD_GAP_MS):
+                self.now_ms += UPLOAD_GAP_MS
+                if is_uploading:
+                    self.link.received(UPLOAD_BYTES, self.now_ms)
+            is_busy = self.link.is_busy(self.now_ms)
+            self.judge(target_health.LinkSeen(is_busy))
+            self.feed(Tick(self.now_ms))
+            self.judge(Tick(self.now_ms))
+            self._end_probes()
+
+    def _end_probes(self):
+        for sent in list(self.probes):
+            if self.now_ms - sent.sent_ms < PROBE_TAKES_MS:
+                continue
+            self.probes.remove(sent)
+            result = self.result
+            is_silent = result is target_health.ProbeResult.SILENT
+            if is_silent and self.link.is_busy(sent.sent_ms):
+                result = target_health.ProbeResult.UNPROVEN
+            ended = target_health.ProbeEnded(
+                sent.target, result, sent.sent_ms, self.now_ms
+            )
+            self.judge(ended)
+
+
+@given('a balancer on a link of {rate:d} Mbit/s with open flows to two '
+       'targets')  # fmt: skip
+def linked_balancer(context, rate):
+    balancer = LinkedBalancer(rate, make_balancer('a').state)
+    context.balancer = balancer
+    for name, number in ((DEAD, 11), ('two', 12)):
+        balancer.put(make_entry(name, 'guide', number=number))
+    table = make_table(3, [make_route()])
+    balancer.feed(flows.RoutesChanged(table, START_MS))
+    for client in (1, 2):
+        balancer.send(client, ADDRESS, opens=True)
+        send_data(balancer, client, ADDRESS)
+    context.client = next(
+        one for one in (1, 2) if balancer.flow(one).target == DEAD
+    )
+
+
+def make_route():
+    """Return a route to the service of both targets."""
+    return Route(
+        name='guide',
+        address=parse_endpoint(ADDRESS),
+        kind=RouteKind.REPEATABLE,
+        shares=(ServiceShare('guide', 1),),
+        priority=0,
+        objective_ms=0,
+    )
+
+
+@when('uploads fill the link for {lasts:d} ms, data is sent again, and probes '
+      'stay {result}')  # fmt: skip
+def uploads_fill(context, lasts, result):
+    balancer = context.balancer
+    balancer.result = target_health.ProbeResult(result)
+    balancer.run(RESEND_AFTER_MS, True)
+    again = balancer.segments[context.client]
+    balancer.feed(flows.SegmentArrived(again, balancer.now_ms))
+    balancer.run(lasts - RESEND_AFTER_MS, True)
+
+
+@when('the link is free and probes stay {result} for {lasts:d} ms')
+def link_free(context, result, lasts):
+    context.balancer.run(lasts, False)
+
+
+@then('{count:d} flows were reset, and new flows go to {chosen}')
+def flows_reset(context, count, chosen):
+    balancer = context.balancer
+    found = balancer.of(flows.Refuse)
+    assert len(found) == count, found
+    first = 100 + len(balancer.segments)
+    for client in range(first, first + 4):
+        balancer.send(client, ADDRESS, opens=True)
+        send_data(balancer, client, ADDRESS)
+    targets = {balancer.flow(one).target for one in range(first, first + 4)}
+    assert targets == ({'two'} if chosen == 'another' else {DEAD, 'two'})
