Prove a target's end and a newcomer's knowledge by what can't be otherwise

Ruled out: slow stores and failed calls (none in the logs); levels of the tree before a newcomer reads (too late by 0.1 s). Change: ready, draining, gone and not proven entries decide what a refusal proves; a held-up probe is void; the first proof comes 2.6 s after the process began and is left alone, newcomers ask for beats at once and read after 3.3 s; who is behind on the one object of routes lists it.

--- a/src/liftmount/_internal/decisions/flow_table.py
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -27,6 +27,9 @@
 # Part of its weight that a target of another failure domain loses: a flow
 # stays in its own domain until the targets there carry twice as much.
 REMOTE_PENALTY = 0.5
+# How long a target that left without a word may go on serving: some drain
+# for many seconds.
+FINISH_MS = 10_000
 # How fast the busy share of a target fades: some ten requests long.
 BUSY_FADE_MS = 1_500
 
@@ -91,8 +94,9 @@
     keeps the counts of services whose targets have not changed since.
     ``evacuated`` names the failure domains whose targets get no new flows;
     until it is known which ones are (None), new flows wait.  ``regions``
-    maps failure domains to theirs; ``fleet`` tells among how many cold
-    targets are shared.
+    maps failure domains to theirs; ``are_targets_proven`` tells whether
+    more than a list that may lag told of targets; ``fleet`` tells among how
+    many cold targets are shared.
     """
 
     failure_domain: str
@@ -100,6 +104,7 @@
     seed: int = 1
     table: RouteTable | None = None
     has_targets: bool = False
+    are_targets_proven: bool = False
     evacuated: frozenset[str] | None = frozenset()
     regions: dict[str, str] = Factory(dict)
     fleet: Fleet = Factory(Fleet)
@@ -199,6 +204,25 @@
     return state.pool(entry.service).may_open(load, now_ms)
 
 
+def may_be_finishing(state: ForwardingState, target: str, now_ms: int) -> bool:
+    """Tell whether a target may serve flows while it refuses connections.
+
+    One that drains stops to listen before it ends, and its entry goes when
+    it has ended.  Some never say that they drain: their entry goes first.
+    Whether one drains is known for sure from a list that does not lag.
+    """
+    entry = state.tags.entries.get(target)
+    if entry is None:
+        return False
+    if not state.are_targets_proven:
+        return True
+    forgotten_ms = state.former.get(target)
+    if forgotten_ms is None:
+        return entry.draining
+    gone_ms = forgotten_ms - state.flow_max_age_ms
+    return not entry.draining and now_ms - gone_ms < FINISH_MS
+
+
 def is_probe_wanted(state: ForwardingState, target: str) -> bool:
     """Tell whether anybody would gain by a probe of a target.
 
--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -40,6 +40,10 @@
 # No watch is shorter, however long the last answer took to arrive: on a slow
 # link calls would follow each other without a pause.
 LEAST_WATCH_MS = 500
+# A watch from an old revision brings each version since.  Where each holds
+# all that a list does, a list up to this size is had sooner: in 0.13 s over
+# a link of 2 Mbit/s.
+SHORT_LIST_BYTES = 32_768
 # How long a watch waits whose freshness other answers prove; the store keeps
 # its history for longer than that.
 RELYING_WATCH_MS = 15_000
@@ -59,6 +63,10 @@
 # after a start of all, when every member held its knowledge for stale and
 # had begun to read as well.
 SETTLE_MS = 2_000
+# How long after the start of its process a balancer proves at the latest what
+# it read at first: on a small instance, where all takes longer, SETTLE_MS
+# would end as late as its bounds begin to hold.
+FIRST_PROOF_MS = 2_600
 
 
 @message
@@ -103,9 +111,13 @@
 
 @message
 class Known(Message):
-    """A list as of ``revision`` was read before, or a peer told it."""
+    """A list as of ``revision`` was read before, or a peer told it.
+
+    ``size_bytes`` is what the list took, 0 if a peer told it.
+    """
 
     revision: int
+    size_bytes: int = 0
 
 
 @message
@@ -113,6 +125,7 @@
     """The list that was begun before is there, as of ``revision``."""
 
     revision: int
+    size_bytes: int = 0
 
 
 @message
@@ -120,6 +133,7 @@
     """The store listed all objects as of ``revision``."""
 
     revision: int
+    size_bytes: int = 0
 
 
 @message
@@ -218,16 +232,27 @@
     failures: int
 
 
+def settle_ms(process_age_ms: int) -> int:
+    """Return how long a balancer waits before it proves its first lists."""
+    return min(SETTLE_MS, max(0, FIRST_PROOF_MS - process_age_ms))
+
+
 @define
 class FollowState:
     """``revision`` is None before the first list.
 
     ``is_calling`` tells whether a call is planned or under way, and
     ``is_resting`` whether somebody else follows the store.  While it
-    ``is_relying``, answers about other kinds prove it fresh.
+    ``is_relying``, answers about other kinds prove it fresh.  ``settle_ms``
+    is how long after a first list it is proven.  Of a kind
+    ``is_one_object``, each change tells the whole list anew, which took
+    ``list_bytes`` when it was read last, 0 if that is not known.
     """
 
     revision: int | None = None
+    settle_ms: int = SETTLE_MS
+    is_one_object: bool = False
+    list_bytes: int = 0
     failures: int = 0
     must_list: bool = True
     jitter: float = 0.5
@@ -250,7 +275,7 @@
         case Confirmed():
             return _confirm(state, event.revision)
         case Known():
-            return _learn(state, event.revision)
+            return _learn(state, event)
     *reports, call = _ended(state, event)
     return [*reports, *_plan(state, call)]
 
@@ -318,22 +343,29 @@
     if state.must_list:
         call = List(0, may_lag=state.revision is None)
     else:
-        # The first answer has to come at once, to show that all is known.
-        call = Watch(0, state.revision, AT_ONCE_MS)
+        call = _catch_up(state, 0)
     return [Cancel(), *_plan(state, call)]
 
 
-def _learn(state, revision):
+def _catch_up(state, pause_ms):
+    """Return a call that is answered at once, and shows that all is known."""
+    if state.is_one_object and 0 < state.list_bytes <= SHORT_LIST_BYTES:
+        return List(pause_ms, may_lag=False)
+    return Watch(pause_ms, state.revision, AT_ONCE_MS)
+
+
+def _learn(state, event):
     """Take over that a list is known, in place of one under way."""
     if state.revision is not None:
         return []
-    return [Cancel(), *_plan(state, _first_watch(state, revision))]
+    state.list_bytes = event.size_bytes
+    return [Cancel(), *_plan(state, _first_watch(state, event.revision))]
 
 
 def _first_watch(state, revision):
     state.must_list = False
     state.revision = revision
-    return Watch(SETTLE_MS, revision, AT_ONCE_MS)
+    return Watch(state.settle_ms, revision, AT_ONCE_MS)
 
 
 def _ended(state, event):
@@ -345,9 +377,11 @@
             return [Finish()]
         case Finished():
             actions = _answered(state)
+            state.list_bytes = event.size_bytes
             return [*actions, _first_watch(state, event.revision)]
         case Listed():
             actions = _answered(state)
+            state.list_bytes = event.size_bytes
             state.must_list = False
             is_first = state.revision is None
             # A list that lags must not bring changes back that are known.
@@ -410,4 +444,4 @@
     # Answered at once it proves that nothing was missed.  Else members would
     # hold what they know for stale and read the store themselves: after a
     # watch that fell silent 6 of 9 did, 4.5 s after the last answer.
-    return [*lost, Watch(pause_ms, state.revision, AT_ONCE_MS)]
+    return [*lost, _catch_up(state, pause_ms)]
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -14,8 +14,10 @@
 
 from liftmount._internal.decisions import evacuations
 from liftmount._internal.decisions.evacuations import EvacuationState
+from liftmount._internal.decisions.following import FIRST_PROOF_MS
 from liftmount._internal.decisions.following import freshness_times
 from liftmount._internal.decisions.following import FreshnessTimes
+from liftmount._internal.decisions.following import READ_MARGIN_MS
 from liftmount._internal.decisions.relay import count_between
 from liftmount._internal.decisions.relay import FANOUT
 from liftmount._internal.decisions.relay import find_parent
@@ -41,6 +43,9 @@
 ASK_AFTER_MS = 1_000
 # Between two questions: some fall into the time until the store is read.
 ASK_EVERY_MS = 200
+# Questions of a newcomer before it reads the store: by the second one the
+# answers to the first are there.
+ASKS_FIRST = 2
 ASK_MARGIN_MS = 500
 # Members start to read spread over this time, as all miss the same beat.
 SPREAD_MS = 400
@@ -62,7 +67,11 @@
 # seconds on a link of 5 Mbit/s, and each further copy would slow all down.
 MAX_PULLS = 2
 
+# What was never confirmed, also on a machine whose clock has just begun.
+NEVER_MS = -3_600_000
+
 # Why a member reads that is not the root.
+NOT_PROVEN = 'not proven since its start'
 NO_BEAT = 'no beat'
 OLD_BEATS = 'old beats'
 HELPING = (NO_BEAT, OLD_BEATS)
@@ -205,6 +214,9 @@
     ``confirmed_ms`` is when the store last confirmed what is held, as
     told by beats; ``read_ms`` the same of our own calls, by feed.
     ``pulled_from`` names the peers from which knowledge is under way.
+    ``process_ms`` is when the process began, some time before this state,
+    and ``all_new_ms`` when a peer last told that it has no fresher knowledge
+    either: then all have started of late.
     """
 
     name: str
@@ -214,8 +226,10 @@
     order: tuple[str, ...] = ()
     far: tuple[str, ...] = ()
     is_reading: bool = True
+    process_ms: int = Factory(lambda self: self.started_ms, takes_self=True)
     heard_ms: int = 0
-    confirmed_ms: int = 0
+    all_new_ms: int = NEVER_MS
+    confirmed_ms: int = NEVER_MS
     read_ms: dict[str, int] = Factory(dict)
     feeds: tuple[str, ...] = (ROUTES, TARGETS, EVACUATIONS)
     evacuations: EvacuationState = Factory(EvacuationState)
@@ -243,7 +257,7 @@
 
     def known_as_of_ms(self) -> int:
         """Return when the store last confirmed what is held here."""
-        own_ms = min(self.read_ms.get(feed, 0) for feed in self.feeds)
+        own_ms = min(self.read_ms.get(feed, NEVER_MS) for feed in self.feeds)
         return max(self.confirmed_ms, own_ms)
 
 
@@ -331,6 +345,8 @@
 
 def _beat(state, beat, now_ms):
     state.heard_ms = now_ms
+    if beat.age_ms > state.times.stale_ms:
+        state.all_new_ms = now_ms
     is_behind = beat.routes_version > state.routes_version
     if beat.routes_version == state.routes_version:
         state.routes_revision = max(
@@ -405,12 +421,17 @@
     known_ms = max(state.known_as_of_ms(), state.started_ms)
     is_silent = not state.is_root and now_ms - heard_ms > ASK_AFTER_MS
     is_old = now_ms - known_ms > state.times.stale_ms - ASK_MARGIN_MS
-    if not (is_silent or is_old) or now_ms < state.next_ask_ms:
+    # What a newcomer read at first may lag; others mostly know better.
+    is_unproven = state.known_as_of_ms() < state.process_ms
+    is_asking = is_silent or is_old or is_unproven
+    if not is_asking or now_ms < state.next_ask_ms:
         return []
     state.next_ask_ms = now_ms + ASK_EVERY_MS
-    state.asked += 1
     peers = _whom_to_ask(state)
-    return [AskForBeat(peers)] if peers else []
+    if not peers:
+        return []
+    state.asked += 1
+    return [AskForBeat(peers)]
 
 
 def _whom_to_ask(state):
@@ -447,6 +468,9 @@
         and state.routes_version
         and state.evacuations.known
     )
+    is_new = now_ms - state.started_ms < state.times.stale_ms
+    if knows_all and is_new and _lacks_proof(state, now_ms):
+        return True, NOT_PROVEN
     if knows_all and now_ms - state.started_ms < SETTLE_MS:
         return False, 'started of late'
     if state.is_root:
@@ -454,9 +478,8 @@
     if not knows_all and now_ms - state.heard_ms > state.times.silent_ms:
         # Who hears beats is fed as soon as the root knows.
         return True, 'nothing known'
-    if now_ms - state.started_ms < state.times.stale_ms:
-        # What it read at its start is fresh enough, and the others may
-        # still be learning who is there.
+    if is_new:
+        # The others may still be learning who is there.
         return False, 'started of late'
     pause_ms = state.spread * SPREAD_MS
     if now_ms - state.heard_ms > state.times.silent_ms + pause_ms:
@@ -472,6 +495,27 @@
     return False, 'fresh beats'
 
 
+def _lacks_proof(state, now_ms):
+    """Tell whether a newcomer serves too long by what it read at first.
+
+    Those lists may lag by seconds, and a start takes seconds on a small
+    instance, whose bounds hold from a fixed time after it was started on.
+    """
+    if state.known_as_of_ms() >= state.process_ms:
+        return False
+    if now_ms - state.all_new_ms <= state.times.silent_ms:
+        return False
+    age_ms = now_ms - state.process_ms
+    if state.is_reading:
+        # The call that proves it is under way.
+        return age_ms > FIRST_PROOF_MS
+    if state.asked < ASKS_FIRST:
+        # Those that it asks may know better.
+        return False
+    limit_ms = state.times.stale_ms - READ_MARGIN_MS
+    return age_ms > limit_ms + state.spread * SPREAD_MS
+
+
 def make_beat(state: SpreadState, now_ms: int) -> Beat:
     """Return the beat to send now, with the changes of late."""
     state.changes = [
--- a/src/liftmount/_internal/decisions/target_health.py
+++ b/src/liftmount/_internal/decisions/target_health.py
@@ -66,15 +66,17 @@
 class ProbeResult(Enum):
     """How a probe ended.
 
-    ``REPLACED`` means that another target answered at the address,
-    ``UNPROVEN`` that there was silence while the own link was busy, and
-    ``VOID`` that this balancer was held up itself, so that silence says
-    nothing.
+    ``REPLACED`` means that another target answered at the address, and
+    ``REFUSED`` that nobody listens there.  ``UNPROVEN`` is either of what
+    follows: silence while the own link was busy, or a refusal by a target
+    that may be finishing what it has.  ``VOID`` means that this balancer was
+    held up itself, so that silence says nothing.
     """
 
     ANSWERED = 'answered'
     REPLACED = 'replaced'
     SILENT = 'silent'
+    REFUSED = 'refused'
     UNPROVEN = 'unproven'
     VOID = 'void'
 
--- a/src/liftmount/_internal/models/feeds.py
+++ b/src/liftmount/_internal/models/feeds.py
@@ -37,13 +37,15 @@
     """All objects of a kind as of ``revision``.
 
     ``age_ms`` is the time that passed since the store began to answer.  A
-    list that ``may_lag`` may have been seconds old then.
+    list that ``may_lag`` may have been seconds old then.  ``size_bytes`` is
+    what all pages of the answer took, 0 if that is not known.
     """
 
     items: tuple
     revision: int
     age_ms: int = 0
     may_lag: bool = False
+    size_bytes: int = 0
 
 
 @message
--- a/src/liftmount/_internal/services/beliefs.py
+++ b/src/liftmount/_internal/services/beliefs.py
@@ -50,6 +50,8 @@
             return self._take_tables(items, now_ms)
         if posted.feed == EVACUATIONS:
             return self.take_evacuated(news, now_ms)
+        if not (is_listing and news.may_lag):
+            self.state.are_targets_proven = True
         if is_listing:
             event = directory.TargetsListed(items, news.revision, now_ms)
         else:
@@ -69,6 +71,7 @@
             event = flows.FormerTarget(one.entry, until_ms)
             actions += forwarding.decide(self.state, event)
         if known.targets or known.doubted:
+            self.state.are_targets_proven = True
             event = directory.TargetsListed(
                 known.targets, known.targets_revision, now_ms, known.doubted
             )
--- a/src/liftmount/_internal/services/early.py
+++ b/src/liftmount/_internal/services/early.py
@@ -12,6 +12,8 @@
 from liftmount._internal.clock import Clock
 from liftmount._internal.models.entry_settings import EntrySettings
 from liftmount._internal.models.feeds import FeedNews
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.records import changed
 from liftmount._internal.services.packet_path import bind_packets
 from liftmount._internal.services.packet_path import PacketPath
 from liftmount._internal.services.packet_path import TICK_MS
@@ -32,11 +34,11 @@
     """What a balancer has from its first moment on.
 
     ``readiness`` is the bound socket of the server that is asked for
-    readiness, None if its address is not free.  ``revisions`` tells by
-    feed as of when the store was read, ``begun`` holds the first lists that
-    are still under way.  ``stops`` has an entry if the process was told to
-    stop before its event loop ran.  ``left_out`` is a LeftOut as soon as
-    something in the store can't be used.
+    readiness, None if its address is not free.  ``known`` tells by feed which
+    list was read, without its items, ``begun`` holds the first lists that are
+    still under way.  ``stops`` has an entry if the process was told to stop
+    before its event loop ran.  ``left_out`` is a LeftOut as soon as something
+    in the store can't be used.
     """
 
     settings: EntrySettings
@@ -45,7 +47,7 @@
     metrics: Metrics
     path: PacketPath
     readiness: RawSocket | None
-    revisions: dict[str, int] = Factory(dict)
+    known: dict[str, Listing] = Factory(dict)
     begun: dict = Factory(dict)
     stops: list = Factory(list)
     left_out: object = None
@@ -154,7 +156,7 @@
             self._poll.modify(one.socket, events)
             return
         self._end(feed, one)
-        early.revisions[feed] = listing.revision
+        early.known[feed] = changed(listing, items=())
         news = FeedNews(feed, listing)
         now_ms = early.clock.now_ms()
         early.path.execute(early.path.beliefs.take_news(news, now_ms))
--- a/src/liftmount/_internal/services/entry.py
+++ b/src/liftmount/_internal/services/entry.py
@@ -13,6 +13,7 @@
 
 from liftmount._internal.clock import seconds
 from liftmount._internal.decisions.following import freshness_times
+from liftmount._internal.decisions.following import settle_ms
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.kernel import Kernel
 from liftmount._internal.services.early import EarlyBalancer
@@ -114,6 +115,7 @@
         feeds = self.adapter.make_feeds(
             settings, self.early.note_problems, self.metrics
         )
+        age_ms = self.kernel.clock.now_ms() - self.path.started_ms
         for name, feed in feeds.items():
             service = FeedService(
                 self.kernel,
@@ -123,8 +125,9 @@
                 self.log,
                 _spread(settings.name),
                 freshness_times(settings.change_bound_ms),
-                self.early.revisions.get(name),
+                self.early.known.get(name),
                 self.early.begun.pop(name, None),
+                settle_ms(age_ms),
             )
             self.kernel.register(service)
 
--- a/src/liftmount/_internal/services/feeds.py
+++ b/src/liftmount/_internal/services/feeds.py
@@ -9,6 +9,7 @@
 from liftmount._internal.kernel import Service
 from liftmount._internal.models.feeds import FeedFailed
 from liftmount._internal.models.feeds import FeedNews
+from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.network.http import wait_for_socket
 
 
@@ -16,10 +17,11 @@
     """Owns one feed and posts FeedNews and FeedFailed to its listeners.
 
     ``feed`` has ``fetch(may_lag, timeout_ms)`` and ``watch(revision,
-    wait_ms, timeout_ms)``, which raise PlatformError.  ``revision`` is
-    given if the listeners know a list already, ``begun`` if one is under
-    way; it has ``socket``, ``is_asked`` and ``advance()``.  ``times`` are
-    FreshnessTimes.
+    wait_ms, timeout_ms)``, which raise PlatformError.  ``known`` is the
+    Listing that the listeners know already, if any, ``begun`` a list that is
+    under way; it has ``socket``, ``is_asked`` and ``advance()``.  ``times``
+    are FreshnessTimes, ``settle_ms`` is how long after a first list it is
+    proven.
     """
 
     def __init__(
@@ -31,18 +33,24 @@
         log,
         jitter,
         times,
-        revision=None,
+        known=None,
         begun=None,
+        settle_ms=following.SETTLE_MS,
     ):
         super().__init__(kernel)
         self.name = name
         self.feed = feed
         self.listeners = listeners
         self.log = log
-        self.state = following.FollowState(jitter=jitter, times=times)
+        self.state = following.FollowState(
+            jitter=jitter,
+            times=times,
+            settle_ms=settle_ms,
+            is_one_object=name == ROUTES,
+        )
         self._first = following.Started()
-        if revision is not None:
-            self._first = following.Known(revision)
+        if known is not None:
+            self._first = following.Known(known.revision, known.size_bytes)
         elif begun is not None:
             self._first = following.Begun()
         self._begun = begun
@@ -152,14 +160,14 @@
         finally:
             begun.socket.close()
         self._post(FeedNews(self.name, listing))
-        return following.Finished(listing.revision)
+        return following.Finished(listing.revision, listing.size_bytes)
 
     async def _list(self, action):
         listing = await self.feed.fetch(
             action.may_lag, following.LIST_TIMEOUT_MS
         )
         self._post(FeedNews(self.name, listing))
-        return following.Listed(listing.revision)
+        return following.Listed(listing.revision, listing.size_bytes)
 
     async def _watch(self, action):
         delta = await self.feed.watch(
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -101,6 +101,7 @@
             self.clock.now_ms(),
             options.spread,
             options.times,
+            process_ms=packets.path.started_ms,
         )
         self.confirming = confirming.ConfirmingState()
         self._teller = KnowledgeTeller(self.beliefs, self.clock, counters)
--- a/src/liftmount/_internal/services/packet_path.py
+++ b/src/liftmount/_internal/services/packet_path.py
@@ -15,6 +15,7 @@
 from liftmount._internal.decisions.flow_table import domain_loads
 from liftmount._internal.decisions.flow_table import ForwardingState
 from liftmount._internal.decisions.flow_table import is_probe_wanted
+from liftmount._internal.decisions.flow_table import may_be_finishing
 from liftmount._internal.decisions.own_link import OwnLink
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.models import flow_messages as flows
@@ -68,6 +69,7 @@
 
     def __init__(self, clock: Clock, codec, options, log, counters, bound):
         self.clock = clock
+        self.started_ms = clock.now_ms()
         self.socket = bound
         self.wanted = []
         self.leaving = None
@@ -188,8 +190,7 @@
     def end_probe(self, sent: target_health.SendProbe, result) -> None:
         """Judge a target by how a probe of it ended."""
         now_ms = self.clock.now_ms()
-        is_silent = result is target_health.ProbeResult.SILENT
-        if is_silent and self.link.is_busy(sent.sent_ms):
+        if not self._is_proof(sent, result, now_ms):
             result = target_health.ProbeResult.UNPROVEN
         self._log.write(
             'probes',
@@ -203,6 +204,15 @@
         )
         self._assess(event)
 
+    def _is_proof(self, sent, result, now_ms):
+        """Tell whether the end of a probe may speak against a target."""
+        match result:
+            case target_health.ProbeResult.SILENT:
+                return not self.link.is_busy(sent.sent_ms)
+            case target_health.ProbeResult.REFUSED:
+                return not may_be_finishing(self.state, sent.target, now_ms)
+        return True
+
     # What is decided.
 
     def execute(self, actions) -> None:
--- a/src/liftmount/_internal/services/probes.py
+++ b/src/liftmount/_internal/services/probes.py
@@ -45,10 +45,21 @@
 async def _ask(connection, target, path):
     try:
         answer = await connection.request('GET', path, 2 * PROBE_MS)
-    except HttpError:
-        # Refused, or broken off: nobody works there.
-        return ProbeResult.SILENT
+    except HttpError as error:
+        return _result_of(error.__cause__)
     name = answer.headers.get(INSTANCE_HEADER, target.name)
     if name != target.name:
         return ProbeResult.REPLACED
     return ProbeResult.ANSWERED
+
+
+def _result_of(error):
+    """Return the result of a probe that ended with an error."""
+    match error:
+        case ConnectionError():
+            return ProbeResult.REFUSED
+        case TimeoutError():
+            # The request may take longer than a probe waits: this balancer
+            # was held up meanwhile.
+            return ProbeResult.VOID
+    return ProbeResult.SILENT
--- a/src/liftmount/platform/documents.py
+++ b/src/liftmount/platform/documents.py
@@ -140,7 +140,7 @@
     ``revision`` is that of the oldest page.  What changed between two pages
     is watched for from there on; the newest page's would skip it, and pages
     that may lag can be seconds apart.  ``began_ms`` is when the first page
-    began to arrive.
+    began to arrive, ``size_bytes`` what all pages took.
     """
 
     kind: str
@@ -148,14 +148,16 @@
     items: list = Factory(list)
     revision: int | None = None
     began_ms: int | None = None
+    size_bytes: int = 0
 
-    def add(self, page: dict, began_ms: int) -> str:
+    def add(self, page: dict, began_ms: int, size_bytes: int) -> str:
         """Add a page; return after which name to go on, empty at the end.
 
         Raises PlatformError.
         """
         if self.began_ms is None:
             self.began_ms = began_ms
+        self.size_bytes += size_bytes
         listing = read_list(self.kind, page, self.report)
         self.items += listing.items
         if self.revision is None or listing.revision < self.revision:
@@ -170,4 +172,9 @@
     def listing(self, now_ms: int) -> Listing:
         """Return the list."""
         age_ms = now_ms - self.began_ms
-        return Listing(tuple(self.items), self.revision, age_ms)
+        return Listing(
+            tuple(self.items),
+            self.revision,
+            age_ms,
+            size_bytes=self.size_bytes,
+        )
--- a/src/liftmount/platform/first_lists.py
+++ b/src/liftmount/platform/first_lists.py
@@ -91,8 +91,9 @@
         status = self._parser.get_status_code()
         if status != HTTP_OK:
             raise PlatformError(f'{self._path}: status {status}')
-        page = read_document(self._path, bytes(self._message.body))
-        self._after = self._pages.add(page, self._began_ms)
+        body = bytes(self._message.body)
+        page = read_document(self._path, body)
+        self._after = self._pages.add(page, self._began_ms, len(body))
         if not self._after:
             return True
         self._ask()
--- a/src/liftmount/platform/store.py
+++ b/src/liftmount/platform/store.py
@@ -38,10 +38,11 @@
 
 @frozen
 class _Reply:
-    """The document of an answer, and how long it took to arrive."""
+    """The document of an answer, its size, and how long it took to come."""
 
     document: dict
     lasted_ms: int
+    size_bytes: int
 
 
 class PlatformStore:
@@ -107,7 +108,8 @@
             path = list_path(kind, after, may_lag)
             page = await self._read(path, timeout_ms)
             now_ms = self._clock.now_ms()
-            after = pages.add(page.document, now_ms - page.lasted_ms)
+            began_ms = now_ms - page.lasted_ms
+            after = pages.add(page.document, began_ms, page.size_bytes)
             if not after:
                 return pages.listing(now_ms)
 
@@ -182,7 +184,7 @@
             document = _checked(method, path, answer)
             if document is None:
                 return None
-            return _Reply(document, answer.lasted_ms)
+            return _Reply(document, answer.lasted_ms, len(answer.body))
         raise PlatformUnavailableError(str(failure)) from failure
 
     async def _exchange(self, address, method, path, timeout_ms, body):
--- a/tests/features/decisions/beliefs.feature
+++ b/tests/features/decisions/beliefs.feature
@@ -61,6 +61,68 @@
       | written, listed without, wait 2600                 | gone     |
       | written, old list without, wait 2600               | believed |
 
+  Scenario Outline: Who is behind on an object that was changed often reads it once
+    When calls for one object that tells all end in this order: <events>
+    Then the next call is <call>
+
+    Examples:
+      | events                                              | call                        |
+      | start, listed 10 9000, paused, resumed              | exact list at once          |
+      | begun, finished 10 9000, paused, resumed            | exact list at once          |
+      | start, listed 10 9000, paused, resumed, listed 12 9000 | watch from 12 at once    |
+      | start, listed 10 9000, changed 10 by 0              | watch from 10 at once       |
+      | start, listed 10 9000, changed 10 by 0, failed      | exact list after 200 ms     |
+      | start, listed 10 340000, paused, resumed            | brief watch from 10 at once |
+      | start, listed 10, paused, resumed                   | brief watch from 10 at once |
+      | known 10, paused, resumed                           | brief watch from 10 at once |
+      | known 10 9000, paused, resumed                      | exact list at once          |
+
+  Scenario Outline: What a newcomer read first is proven in time, however slow its start
+    When a process is <age> ms old as its first list is there
+    Then it proves the list <wait> ms later
+
+    Examples:
+      | age  | wait |
+      | 200  | 2000 |
+      | 600  | 2000 |
+      | 1600 | 1000 |
+      | 2600 | 0    |
+      | 4000 | 0    |
+
+  Scenario Outline: How a probe ends tells apart who refuses and who is silent
+    When a probe meets a target that <does>
+    Then the probe is <result>
+
+    Examples:
+      | does                                  | result   |
+      | answers                               | answered |
+      | accepts, and says nothing             | answered |
+      | answers as another target             | replaced |
+      | breaks off                            | refused  |
+      | listens no more                       | refused  |
+      | says nothing while the balancer is held up for 300 ms | void |
+
+  Scenario Outline: Only what a target can't do while it serves proves its end
+    Given a target that <leaving>
+    When its probes are <result>, <after> ms after it was told
+    Then by its probes it is <belief>
+
+    Examples:
+      | leaving                  | result   | after | belief    |
+      | is ready                 | silent   | 100   | dead      |
+      | is ready                 | refused  | 100   | dead      |
+      | drains                   | silent   | 100   | dead      |
+      | drains                   | refused  | 100   | suspected |
+      | drains                   | refused  | 20000 | suspected |
+      | drains                   | replaced | 100   | dead      |
+      | drains                   | answered | 100   | alive     |
+      | drained and is gone      | refused  | 100   | dead      |
+      | is ready in a list that may lag | refused | 100 | suspected |
+      | is ready in a list that may lag | silent  | 100 | dead      |
+      | is gone without a word   | refused  | 4000  | suspected |
+      | is gone without a word   | refused  | 11000 | dead      |
+      | is gone without a word   | silent   | 4000  | dead      |
+
   Scenario Outline: A start that was heard of is not taken back by what is told late
     When a target of start 5 is told at revision 20, and of start <start> at revision <revision>
     Then start <believed> is believed
--- /dev/null
+++ b/tests/features/steps/proof_steps.py
@@ -0,0 +1,146 @@
+"""Steps on what proves: that a target has ended, that a list is fresh."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+from behave import given
+from behave import then
+from behave import when
+
+from liftmount._internal.clock import Clock
+from liftmount._internal.clock import ManualClock
+from liftmount._internal.decisions import following
+from liftmount._internal.decisions import target_health
+from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.feeds import Delta
+from liftmount._internal.models.feeds import FeedNews
+from liftmount._internal.models.feeds import Listing
+from liftmount._internal.models.feeds import TARGETS
+from liftmount._internal.models.records import changed
+from liftmount._internal.models.ticks import Tick
+from liftmount._internal.services.packet_path import PacketPath
+from liftmount._internal.services.probes import probe
+from liftmount._internal.utils.metrics import Metrics
+from liftmount._internal.utils.structured import StructuredLog
+from tests.features.steps.forwarding_steps import make_entry
+
+NOW_MS = 1_000_000
+# An entry that went without a word is doubted for that long.
+DOUBTED_MS = 2_600
+# Longer than a probe and its request may take.
+HELD_UP_S = 0.3
+
+
+def make_path():
+    """Return a path of packets that sends none."""
+    options = SimpleNamespace(
+        name='me',
+        failure_domain='a',
+        flow_max_age_ms=60_000,
+        regions={},
+        packets=Endpoint('127.0.0.1', 1),
+        link_megabits_per_s=0.0,
+    )
+    clock = ManualClock(NOW_MS)
+    log = StructuredLog(clock)
+    return PacketPath(clock, None, options, log, Metrics(), None)
+
+
+def tell(context, news):
+    """Let the store tell of targets."""
+    path = context.path
+    posted = FeedNews(TARGETS, news)
+    path.execute(path.beliefs.take_news(posted, path.clock.now_ms()))
+
+
+@given('a target that {leaving}')
+def target_that(context, leaving):
+    path = context.path = make_path()
+    entry = make_entry('one', 'guide')
+    tell(context, Listing((entry,), 10, may_lag='may lag' in leaving))
+    if leaving.startswith('drain'):
+        tell(context, Delta((changed(entry, draining=True),), (), 11, 10))
+    if 'gone' in leaving:
+        tell(context, Delta((), ('one',), 12, 11))
+        path.clock.advance(DOUBTED_MS)
+        path.tick()
+        assert 'one' in path.state.former, path.state.former
+
+
+@when('its probes are {result}, {after:d} ms after it was told')
+def probes_are(context, result, after):
+    path = context.path
+    path.clock.advance(after)
+    health = path.state.health
+    silent = target_health.TargetSilent('one', path.clock.now_ms())
+    path.execute(target_health.decide(health, silent))
+    for _ in range(2 * target_health.PROBES_TO_DEAD):
+        for sent in path.wanted:
+            path.end_probe(sent, target_health.ProbeResult(result))
+        path.wanted.clear()
+        path.clock.advance(target_health.PROBE_GAP_MS)
+        tick = Tick(path.clock.now_ms())
+        path.execute(target_health.decide(health, tick))
+
+
+@then('by its probes it is {belief}')
+def by_its_probes(context, belief):
+    health = context.path.state.health
+    assert health.is_dead('one') == (belief == 'dead'), health
+    assert health.is_avoided('one') == (belief != 'alive'), health
+
+
+@when('a process is {age:d} ms old as its first list is there')
+def process_is_old(context, age):
+    state = following.FollowState(settle_ms=following.settle_ms(age))
+    following.decide(state, following.Begun())
+    (context.call,) = following.decide(state, following.Finished(10))
+
+
+@then('it proves the list {wait:d} ms later')
+def proves_later(context, wait):
+    wanted = following.Watch(wait, 10, following.AT_ONCE_MS)
+    assert context.call == wanted, context.call
+
+
+async def serve(does, reader, writer):
+    """Answer one probe, or don't."""
+    await reader.readuntil(b'\r\n\r\n')
+    if does == 'breaks off':
+        writer.close()
+        return
+    if 'answers' in does:
+        name = 'two' if 'another' in does else 'one'
+        head = f'HTTP/1.1 200 -\r\nContent-Length: 0\r\nInstance-Id: {name}'
+        writer.write(f'{head}\r\n\r\n'.encode())
+    await reader.read()
+    writer.close()
+
+
+async def probe_one(does):
+    """Return how a probe of a target ends that does something."""
+    server = await asyncio.start_server(
+        lambda reader, writer: serve(does, reader, writer), '127.0.0.1', 0
+    )
+    endpoint = Endpoint(*server.sockets[0].getsockname())
+    if does == 'listens no more':
+        server.close()
+    entry = changed(make_entry('one', 'guide'), endpoint=endpoint)
+    task = asyncio.create_task(probe(Clock(), entry, '/'))
+    if 'held up' in does:
+        await asyncio.sleep(0)
+        time.sleep(HELD_UP_S)
+    result = await task
+    server.close()
+    return result
+
+
+@when('a probe meets a target that {does}')
+def probe_meets(context, does):
+    context.result = asyncio.run(probe_one(does))
+
+
+@then('the probe is {result}')
+def probe_is(context, result):
+    assert context.result is target_health.ProbeResult(result), context.result
