Tell each other of targets that take requests and give no answer

Load: some targets of a service hang; each of N balancers sees 1/N of it, and had to find out for itself, flow by flow, with a request a caller loses whole. Nothing is reset. On where the settings name the health rules.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -30,7 +30,7 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.feeds import StoredObject
 from liftmount._internal.models.members import Member
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 ENDPOINTS = (100, 1_000, 5_000, 27_000)
 ENDPOINTS_PER_TEAM = 36
--- a/benches/domain_start.py
+++ b/benches/domain_start.py
@@ -21,7 +21,7 @@
 from liftmount._internal.models.feeds import ROUTES
 from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.models.feeds import TargetUnknown
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.network.http import STALL_MS
 from liftmount._internal.services.entry import SERVE_ALONE_MS
 from liftmount._internal.services.entry import SERVE_FIRST_MS
--- a/benches/entry.py
+++ b/benches/entry.py
@@ -18,13 +18,13 @@
 from liftmount._internal.decisions.flow_table import ForwardingState
 from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import Endpoint
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteKind
 from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.segments import Segment
 from liftmount._internal.models.segments import ServiceShare
 from liftmount._internal.models.segments import TargetEntry
-from liftmount._internal.models.ticks import Tick
 from liftmount._internal.services.packet_path import OVERFLOW_MS
 from liftmount._internal.services.packet_path import TICK_MS
 
--- a/benches/policies.py
+++ b/benches/policies.py
@@ -17,8 +17,8 @@
 from liftmount._internal.models import events
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.configuration import Service
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.settings import LimitSettings
-from liftmount._internal.models.ticks import Tick
 
 CALLER = Endpoint('10.0.0.1', 1)
 ATTEMPTS = 3
--- a/src/liftmount/_internal/decisions/confirming.py
+++ b/src/liftmount/_internal/decisions/confirming.py
@@ -20,7 +20,7 @@
 from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 # Answers on two connections overtake each other by some milliseconds, by
 # tens on a busy balancer; a change may wait for no longer than its bound.
--- a/src/liftmount/_internal/decisions/directory.py
+++ b/src/liftmount/_internal/decisions/directory.py
@@ -13,8 +13,8 @@
 from liftmount._internal.models.feeds import Expiring
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.segments import TargetEntry
-from liftmount._internal.models.ticks import Tick
 
 # Targets that live write their entries within about two seconds of the
 # store's return; the rest is the way of a watch's answer.
--- /dev/null
+++ b/src/liftmount/_internal/decisions/doubts.py
@@ -0,0 +1,178 @@
+"""What balancers tell each other of targets that give no answer.
+
+Each of many balancers sees a small part of a service.  If each had to find
+out for itself, a target that hangs would cost a request a balancer.  So a
+stall is told at once to a few members, who tell it on.  One balancer convinces
+nobody: its own link or processor may be at fault, or it may be wrong.  When
+several have seen a target stall it gets no new flows for a while, which grows
+while it goes on; then it is tried again.  Open flows stay where they are.
+"""
+
+from zlib import crc32
+
+from attrs import define
+from attrs import Factory
+
+from liftmount._internal.models.knowledge import Doubt
+from liftmount._internal.models.records import Message
+from liftmount._internal.models.records import message
+from liftmount._internal.models.records import Tick
+
+# Balancers that must have seen a target stall.
+QUORUM = 2
+# How long what one has seen counts, and is told on: a stall that is older
+# may be over.
+FRESH_MS = 1_500
+# For how long a target is held out at least, at first and at most; some
+# members hold it out for up to twice as long.  It doubles when the target
+# stalls again by AGAIN_MS after its return.
+FIRST_HOLD_MS = 2_000
+LONGEST_HOLD_MS = 8_000
+AGAIN_MS = 4_000
+# Members that each one tells: with four, all but some 2 % hear of it.
+FANOUT = 4
+# Stalls that one member tells and passes on a second, at some 100 bytes to
+# each of FANOUT: within what control may cost.
+TELLS_PER_S = 5
+MS_PER_S = 1_000
+CRC_MAX = 2**32 - 1
+
+
+@message
+class StallSeen(Message):
+    """This balancer saw a target stall."""
+
+    target: str
+    waited_ms: int
+    now_ms: int
+
+
+@message
+class DoubtArrived(Message):
+    """A member told of a stall."""
+
+    doubt: Doubt
+    now_ms: int
+
+
+@message
+class TellDoubt(Message):
+    """Tell some members of a stall."""
+
+    doubt: Doubt
+    peers: tuple[str, ...]
+
+
+@message
+class HoldOut(Message):
+    """Give a target no new flows until then: ``sources`` saw it stall."""
+
+    target: str
+    until_ms: int
+    sources: tuple[str, ...]
+
+
+@define
+class _Target:
+    """Who saw a target stall, and when; how long it is held out."""
+
+    seen_ms: dict[str, int] = Factory(dict)
+    since_ms: int = 0
+    until_ms: int = 0
+    hold_ms: int = 0
+
+
+@define
+class DoubtState:
+    """What is known of targets that stall, on a member of some name.
+
+    ``peers`` are the live members; ``turn`` makes those who are told differ.
+    """
+
+    name: str
+    peers: tuple[str, ...] = ()
+    targets: dict[str, _Target] = Factory(dict)
+    turn: int = 0
+    told: float = 0.0
+    told_ms: int = 0
+
+
+def decide(state: DoubtState, event) -> list:
+    """Return whom to tell, and which targets to hold out."""
+    match event:
+        case StallSeen(target, waited_ms, now_ms):
+            doubt = Doubt(target, state.name, waited_ms, 0)
+            return _note(state, doubt, now_ms)
+        case DoubtArrived(doubt, now_ms):
+            if doubt.source == state.name:
+                return []
+            return _note(state, doubt, now_ms)
+        case Tick(now_ms):
+            return _forget(state, now_ms)
+    raise TypeError(f'unknown event {event!r}')
+
+
+def _note(state, doubt, now_ms):
+    seen_ms = now_ms - doubt.age_ms
+    target = state.targets.setdefault(doubt.target, _Target())
+    # What began before a hold says nothing of the time after it.
+    is_before = seen_ms - doubt.waited_ms <= target.since_ms
+    if doubt.age_ms > FRESH_MS or is_before:
+        return []
+    known_ms = target.seen_ms.get(doubt.source)
+    if known_ms is not None and seen_ms - known_ms < FRESH_MS:
+        return []
+    target.seen_ms[doubt.source] = seen_ms
+    told = _tell(state, doubt, now_ms)
+    return [*told, *_hold(state, target, doubt, now_ms)]
+
+
+def _tell(state, doubt, now_ms):
+    """Tell a few members, the next ones each time."""
+    elapsed_ms = now_ms - state.told_ms
+    state.told_ms = now_ms
+    earned = elapsed_ms * TELLS_PER_S / MS_PER_S
+    state.told = max(0.0, state.told - earned)
+    if not state.peers or state.told > TELLS_PER_S - 1:
+        return []
+    state.told += 1
+    return [TellDoubt(doubt, _choose_peers(state))]
+
+
+def _choose_peers(state):
+    """Return some peers, other ones each time and on each member."""
+    state.turn += 1
+    ranked = sorted(
+        state.peers,
+        key=lambda peer: crc32(f'{state.name} {state.turn} {peer}'.encode()),
+    )
+    return tuple(ranked[:FANOUT])
+
+
+def _hold(state, target, doubt, now_ms):
+    fresh = [
+        source
+        for source, seen_ms in target.seen_ms.items()
+        if now_ms - seen_ms <= FRESH_MS
+    ]
+    if len(fresh) < QUORUM:
+        return []
+    is_again = now_ms - target.until_ms <= AGAIN_MS and target.hold_ms
+    doubled_ms = 2 * target.hold_ms if is_again else FIRST_HOLD_MS
+    target.hold_ms = min(doubled_ms, LONGEST_HOLD_MS)
+    target.since_ms = now_ms
+    # Members try it again one after the other: what the first ones see holds
+    # it out for all.
+    share = crc32(f'{state.name} {doubt.target}'.encode()) / CRC_MAX
+    target.until_ms = now_ms + round(target.hold_ms * (1 + share))
+    target.seen_ms.clear()
+    return [HoldOut(doubt.target, target.until_ms, tuple(fresh))]
+
+
+def _forget(state, now_ms):
+    """Drop targets that nobody has doubted of late."""
+    for name, one in list(state.targets.items()):
+        newest_ms = max(one.seen_ms.values(), default=one.until_ms)
+        if now_ms - max(newest_ms, one.until_ms) > AGAIN_MS:
+            del state.targets[name]
+    return []
--- a/src/liftmount/_internal/decisions/flow_evidence.py
+++ b/src/liftmount/_internal/decisions/flow_evidence.py
@@ -30,6 +30,7 @@
     """
     if segment.acknowledgement != flow.acknowledged:
         flow.acknowledged = segment.acknowledgement
+        _note_answer(state, flow, now_ms)
         _note_far(state, flow, now_ms)
         # An answer is on its way, or another request began.
         _note_request(state, segment, flow, _is_new(segment, flow), now_ms)
@@ -55,6 +56,15 @@
     note_work(state, flow, is_working, now_ms)
     if is_working:
         flow.request = segment
+        entry = state.tags.entries.get(flow.target)
+        if entry is not None:
+            state.stalls.began(entry.service, flow, now_ms)
+
+
+def _note_answer(state, flow, now_ms):
+    entry = state.tags.entries.get(flow.target)
+    if flow.is_working and entry is not None:
+        state.stalls.answered(entry.service, now_ms - flow.working_ms)
 
 
 def _is_new(segment, flow):
--- a/src/liftmount/_internal/decisions/flow_table.py
+++ b/src/liftmount/_internal/decisions/flow_table.py
@@ -17,6 +17,7 @@
 from liftmount._internal.decisions.overflow import DomainLoad
 from liftmount._internal.decisions.pool import Pool
 from liftmount._internal.decisions.pool import TargetLoad
+from liftmount._internal.decisions.stalls import StallWatch
 from liftmount._internal.decisions.target_health import TargetHealth
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.feeds import Expiring
@@ -96,7 +97,8 @@
     until it is known which ones are (None), new flows wait.  ``regions``
     maps failure domains to theirs; ``are_targets_proven`` tells whether
     more than a list that may lag told of targets; ``fleet`` tells among how
-    many cold targets are shared.
+    many cold targets are shared.  ``is_watching_stalls`` tells whether
+    requests without an answer speak against targets.
     """
 
     failure_domain: str
@@ -113,6 +115,8 @@
     slots: dict[str, SlotCounts] = Factory(dict)
     former: dict[str, int] = Factory(dict)
     health: TargetHealth = Factory(TargetHealth)
+    stalls: StallWatch = Factory(StallWatch)
+    is_watching_stalls: bool = False
     flows: dict[bytes, Flow] = Factory(dict)
     opening: deque = Factory(deque)
     held: deque = Factory(deque)
--- a/src/liftmount/_internal/decisions/forwarding.py
+++ b/src/liftmount/_internal/decisions/forwarding.py
@@ -33,6 +33,7 @@
 from liftmount._internal.models.flow_messages import RoutesChanged
 from liftmount._internal.models.flow_messages import SegmentArrived
 from liftmount._internal.models.flow_messages import TargetDied
+from liftmount._internal.models.flow_messages import TargetHeldOut
 from liftmount._internal.models.flow_messages import TargetPut
 from liftmount._internal.models.flow_messages import TargetRemoved
 from liftmount._internal.models.flow_messages import TargetRestarted
@@ -40,8 +41,8 @@
 from liftmount._internal.models.flow_messages import TargetsSettled
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.segments import Segment
-from liftmount._internal.models.ticks import Tick
 
 # A request that shows no progress for this long counts no more.
 WORK_MS = 2_000
@@ -87,6 +88,8 @@
             return _release(state, event.now_ms)
         case TargetDied():
             return _died(state, event)
+        case TargetHeldOut():
+            return _hold_out(state, event)
         case RoutesChanged():
             return _routes(state, event)
         case DomainsEvacuated():
@@ -481,6 +484,8 @@
             break
         state.opening.popleft()
         actions += _unanswered(state, flow, now_ms)
+    if state.is_watching_stalls:
+        actions += _find_stalls(state, gap_ms, now_ms)
     while state.held and now_ms >= state.held[0].until_ms:
         held = state.held.popleft()
         actions.append(_drop(held.segment, RefusalReason.HELD_TOO_LONG))
@@ -509,6 +514,23 @@
     return actions
 
 
+def _find_stalls(state, gap_ms, now_ms):
+    """Avoid targets that give no answer; others shall hear of it."""
+    is_evidence = gap_ms <= GAP_MS and not state.health.is_link_busy
+    stalled = state.stalls.find(now_ms, is_evidence)
+    for one in stalled:
+        state.pool(one.service).avoid(one.target, now_ms + AVOID_MS)
+    return stalled
+
+
+def _hold_out(state, event):
+    entry = state.tags.entries.get(event.name)
+    if entry is not None:
+        pool = state.pool(entry.service)
+        pool.hold_out(event.name, event.until_ms, event.now_ms)
+    return []
+
+
 def _sweep(state, now_ms):
     """Forget flows that ended or rested too long, and old targets."""
     idle_ms = state.table.idle_limit_ms if state.table else HELD_MS
--- a/src/liftmount/_internal/decisions/lease.py
+++ b/src/liftmount/_internal/decisions/lease.py
@@ -10,7 +10,7 @@
 from attrs import field
 from attrs import frozen
 
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 RENEWALS_PER_LEASE = 3
 
--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -26,7 +26,7 @@
 from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.members import parse_member
 from liftmount._internal.models.records import changed
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 PING = 1
 ACK = 2
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -26,6 +26,8 @@
 LONGEST_EJECTION_MS = 30_000
 WEIGHTS_MS = 250
 MAX_EJECTED_SHARE = 0.5
+# Beyond this share of its targets a service is slow, and not some of them.
+MAX_HELD_OUT_SHARE = 1 / 3
 # Beyond this many targets a sample is compared instead of all of them.
 COMPARE_ALL = 24
 SAMPLE = 16
@@ -320,6 +322,16 @@
             target.ejected_until_ms = max(target.ejected_until_ms, until_ms)
             self._forget_usable()
 
+    def hold_out(self, name: str, until_ms: int, now_ms: int) -> None:
+        """Give a target no new work, unless too many get none already."""
+        avoided = sum(
+            now_ms < one.ejected_until_ms
+            for one in self.targets.values()
+            if one.name != name
+        )
+        if avoided + 1 <= MAX_HELD_OUT_SHARE * len(self.targets):
+            self.avoid(name, until_ms)
+
     def set_last_choice(self, name: str, is_last: bool) -> None:
         """Give a target work only when there is no other, or as usual."""
         target = self.targets.get(name)
--- a/src/liftmount/_internal/decisions/requests.py
+++ b/src/liftmount/_internal/decisions/requests.py
@@ -37,7 +37,7 @@
 from liftmount._internal.models.events import TargetAnswered
 from liftmount._internal.models.events import TargetRefused
 from liftmount._internal.models.reasons import Reason
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.verdict import Outcome
 from liftmount._internal.models.verdict import Verdict
 
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -31,7 +31,7 @@
 from liftmount._internal.models.knowledge import Beat
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 # Beats come this often; a beat is some 60 bytes, to eight children 1.2 KB
 # a second with all overhead.
--- a/src/liftmount/_internal/decisions/target_health.py
+++ b/src/liftmount/_internal/decisions/target_health.py
@@ -21,7 +21,7 @@
 
 from liftmount._internal.models.records import Message
 from liftmount._internal.models.records import message
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 # Silent probes that make a target dead.  On a link that loses 3 % of the
 # packets each way, four are lost once in 80,000 times.
--- a/src/liftmount/_internal/models/flow_messages.py
+++ b/src/liftmount/_internal/models/flow_messages.py
@@ -90,6 +90,15 @@
     is_suspected: bool = False
 
 
+@message
+class TargetHeldOut(Message):
+    """Several balancers saw a target give no answer."""
+
+    name: str
+    until_ms: int
+    now_ms: int
+
+
 @message
 class RoutesChanged(Message):
     """A newer configuration is in force."""
--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -28,6 +28,7 @@
 
 BEAT_MARK = 3
 ASK_MARK = 4
+DOUBT_MARK = 5
 # Knowledge of 27,000 targets takes about 2 MB before it is compressed.
 MAX_KNOWLEDGE_BYTES = 64 * 1_048_576
 
@@ -53,6 +54,16 @@
     evacuated: Evacuated | None = None
 
 
+@message
+class Doubt(Message):
+    """``source`` saw a target stall ``age_ms`` ago, after ``waited_ms``."""
+
+    target: str
+    source: str
+    waited_ms: int
+    age_ms: int
+
+
 def encode_beat(beat: Beat) -> bytes:
     """Return the wire form of a beat."""
     return cbor2.dumps(
@@ -98,6 +109,34 @@
     return sender
 
 
+def encode_doubt(doubt: Doubt) -> bytes:
+    """Return the wire form of what one has seen of a target."""
+    return cbor2.dumps(
+        [
+            DOUBT_MARK,
+            doubt.target,
+            doubt.source,
+            doubt.waited_ms,
+            doubt.age_ms,
+        ]
+    )
+
+
+def is_doubt(datagram: bytes) -> bool:
+    """Tell whether a datagram of a peer tells of a target that stalls."""
+    return len(datagram) > 1 and datagram[1] == DOUBT_MARK
+
+
+def decode_doubt(datagram: bytes) -> Doubt:
+    """Read what one has seen; raises PacketError on anything else."""
+    try:
+        _mark, target, source, waited_ms, age_ms = cbor2.loads(datagram)
+        return Doubt(str(target), str(source), int(waited_ms), int(age_ms))
+    except Exception as error:
+        # The library raises whatever the bytes make it stumble over.
+        raise PacketError(f'not a doubt: {error}') from error
+
+
 def decode_beat(datagram: bytes) -> Beat:
     """Read a beat; raises PacketError on anything else."""
     try:
--- a/src/liftmount/_internal/models/records.py
+++ b/src/liftmount/_internal/models/records.py
@@ -40,3 +40,10 @@
 
     def _values(self):
         return tuple(getattr(self, name) for name in self.__match_args__)
+
+
+@message
+class Tick(Message):
+    """Time has passed."""
+
+    now_ms: int
--- a/src/liftmount/_internal/services/beliefs.py
+++ b/src/liftmount/_internal/services/beliefs.py
@@ -22,7 +22,7 @@
 from liftmount._internal.models.feeds import Knowledge
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import ROUTES
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.utils.structured import StructuredLog
 
 
--- a/src/liftmount/_internal/services/data.py
+++ b/src/liftmount/_internal/services/data.py
@@ -48,7 +48,7 @@
 from liftmount._internal.models.packets import Request
 from liftmount._internal.models.packets import split_body
 from liftmount._internal.models.reasons import Reason
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.network.udp import UdpSocket
 
 LOG = logging.getLogger('liftmount.data')
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -11,8 +11,10 @@
 from liftmount._internal.decisions import joining
 from liftmount._internal.decisions import membership
 from liftmount._internal.decisions import spreading
+from liftmount._internal.decisions.doubts import StallSeen
 from liftmount._internal.decisions.following import FreshnessTimes
 from liftmount._internal.decisions.relay import relay_order
+from liftmount._internal.decisions.stalls import Stalled
 from liftmount._internal.exceptions import HttpError
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.kernel import TickingService
@@ -38,14 +40,16 @@
 from liftmount._internal.models.knowledge import encode_members
 from liftmount._internal.models.knowledge import is_ask
 from liftmount._internal.models.knowledge import is_beat
+from liftmount._internal.models.knowledge import is_doubt
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.network.http import HttpServer
 from liftmount._internal.network.http_messages import HTTP_NOT_FOUND
 from liftmount._internal.network.http_messages import HTTP_OK
 from liftmount._internal.network.http_messages import HttpAnswer
 from liftmount._internal.network.udp import UdpSocket
+from liftmount._internal.services.doubts import DoubtTeller
 from liftmount._internal.services.knowledge import KNOWLEDGE_PATH
 from liftmount._internal.services.knowledge import KnowledgeTeller
 from liftmount._internal.services.pulls import get_from_peer
@@ -107,6 +111,9 @@
         self._teller = KnowledgeTeller(self.beliefs, self.clock, counters)
         self._server = HttpServer(self._answer)
         self._failures = 0
+        self._doubts = DoubtTeller(
+            options.name, self._send_to, self._hold_out, log, counters
+        )
         self._puller = KnowledgePuller(
             self.name, packets.path, counters, log, self._pull_ended
         )
@@ -217,6 +224,7 @@
         self._execute(membership.decide(self.members, tick))
         self._execute(spreading.decide(self.spread, tick))
         self._execute(confirming.decide(self.confirming, tick))
+        self._doubts.decide(tick)
 
     def _on_datagram(self, data, source):
         if self.socket is None:
@@ -229,6 +237,9 @@
                 event = spreading.BeatArrived(decode_beat(data), now_ms)
                 self._execute(spreading.decide(self.spread, event))
                 return
+            if is_doubt(data):
+                self._doubts.hear(data, now_ms)
+                return
             if is_ask(data):
                 event = spreading.BeatAsked(decode_ask(data), now_ms)
                 self._execute(spreading.decide(self.spread, event))
@@ -275,6 +286,11 @@
                 self._execute(confirming.decide(self.confirming, event))
             case TargetUnknown():
                 self._execute(spreading.decide(self.spread, message))
+            case Stalled():
+                event = StallSeen(
+                    message.target, message.waited_ms, message.now_ms
+                )
+                self._doubts.decide(event)
             case FeedFailed(feed):
                 self._failures += confirming.failures_of(self.confirming, feed)
                 if self._failures >= FAILURES_TO_YIELD:
@@ -282,6 +298,9 @@
             case _:
                 super().handle(message)
 
+    def _hold_out(self, action):
+        self.packets.path.hold_out(action.target, action.until_ms)
+
     def _note_answer(self, feed, news):
         event = spreading.StoreAnswered(feed, news, self.clock.now_ms())
         self._execute(spreading.decide(self.spread, event))
@@ -326,6 +345,8 @@
         is_reordered = order != self.spread.order
         names = tuple(one.name for one in far if one.eligible)
         spreading.decide(self.spread, spreading.OrderChanged(order, names))
+        live = [one.name for one in self.members.reachable()]
+        self._doubts.set_peers(tuple(live))
         if is_reordered:
             # The last member of a domain leaves nobody behind.
             root = order[0] if order else ''
--- a/src/liftmount/_internal/services/packet_path.py
+++ b/src/liftmount/_internal/services/packet_path.py
@@ -10,6 +10,7 @@
 from liftmount._internal.clock import Clock
 from liftmount._internal.decisions import forwarding
 from liftmount._internal.decisions import overflow
+from liftmount._internal.decisions import stalls
 from liftmount._internal.decisions import target_health
 from liftmount._internal.decisions.cold_targets import Fleet
 from liftmount._internal.decisions.flow_table import domain_loads
@@ -21,7 +22,7 @@
 from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.feeds import DomainMembers
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.services.beliefs import Beliefs
 from liftmount._internal.utils.raw_sockets import make_socket
 from liftmount._internal.utils.raw_sockets import RawSocket
@@ -83,9 +84,11 @@
             evacuated=None,
             regions=options.regions,
             fleet=Fleet(options.name),
+            is_watching_stalls=options.shares_doubts,
         )
         self.beliefs = Beliefs(self.state, log)
         self.ask_for_target = None
+        self.tell_stall = None
         self._codec = codec
         self._client_port = options.packets.port
         self._log = log
@@ -252,6 +255,25 @@
                 )
             case flows.TargetRestarted():
                 self._log_restarted(action)
+            case stalls.Stalled():
+                self._note_stall(action)
+
+    def _note_stall(self, action):
+        self._counters.count('stalls')
+        self._log.write(
+            'targets',
+            'stalled',
+            target=action.target,
+            flow=action.flow.hex(),
+            waited_ms=action.waited_ms,
+        )
+        if self.tell_stall is not None:
+            self.tell_stall(action)
+
+    def hold_out(self, name: str, until_ms: int) -> None:
+        """Give a target no new flows until then."""
+        event = flows.TargetHeldOut(name, until_ms, self.clock.now_ms())
+        self.execute(forwarding.decide(self.state, event))
 
     def _log_restarted(self, action):
         self._counters.count('targets_restarted')
--- a/src/liftmount/_internal/services/packets.py
+++ b/src/liftmount/_internal/services/packets.py
@@ -25,6 +25,7 @@
         self.path = path
         self._probes = set()
         path.ask_for_target = self._ask_group
+        path.tell_stall = self._tell_group
 
     async def start(self):
         """Read packets whenever there are some."""
@@ -70,6 +71,10 @@
             event = TargetUnknown(self.clock.now_ms())
             self.kernel.post('group', event)
 
+    def _tell_group(self, stalled):
+        if 'group' in self.kernel.services:
+            self.kernel.post('group', stalled)
+
     def _start_probes(self):
         wanted = self.path.wanted
         while wanted:
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -20,7 +20,7 @@
 from liftmount._internal.models.messages import PlatformReached
 from liftmount._internal.models.messages import PullFrom
 from liftmount._internal.models.reasons import Reason
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.network.udp import UdpSocket
 
 LOG = logging.getLogger('liftmount.peers')
--- a/src/liftmount/_internal/services/platform.py
+++ b/src/liftmount/_internal/services/platform.py
@@ -37,7 +37,7 @@
 from liftmount._internal.models.objects import ObjectKind
 from liftmount._internal.models.objects import SPREAD_KINDS
 from liftmount._internal.models.reasons import Reason
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.store.interface import ObjectStore
 from liftmount._internal.store.reader import ObjectReader
 from liftmount._internal.store.statuses import read_statuses
--- a/src/liftmount/leases.py
+++ b/src/liftmount/leases.py
@@ -8,7 +8,7 @@
 from liftmount._internal.decisions.lease import LeaseWritten
 from liftmount._internal.decisions.lease import ReadLease
 from liftmount._internal.decisions.lease import WriteLease
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 __all__ = (
     'decide',
--- a/src/liftmount/membership.py
+++ b/src/liftmount/membership.py
@@ -16,7 +16,7 @@
 from liftmount._internal.decisions.relay import SubtreeReports
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 __all__ = (
     'BudgetSpent',
--- a/src/liftmount/platform/settings.py
+++ b/src/liftmount/platform/settings.py
@@ -17,6 +17,8 @@
 
 # The port that deploy/system.toml names; the settings hold none for it.
 METRICS_PORT = 9102
+# Names the rules on targets that say that they are well.
+HEALTH_PART = 'health'
 # Where the file names no bound for changes: the tightest one in use.
 CHANGE_BOUND_MS = 3_000
 
@@ -83,5 +85,6 @@
             change_bound_ms, bounds.number('evacuate_ms', change_bound_ms)
         ),
         regions=fields.names('zones'),
+        shares_doubts=HEALTH_PART in fields.texts('contracts'),
         link_megabits_per_s=fields.part('limits').fraction('link_mbps', 0),
     )
--- a/tests/features/steps/beliefs_steps.py
+++ b/tests/features/steps/beliefs_steps.py
@@ -11,7 +11,7 @@
 from liftmount._internal.decisions.leaving import LeavingState
 from liftmount._internal.decisions.target_health import ProbeResult
 from liftmount._internal.models.records import changed
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from tests.features.steps.forwarding_steps import make_entry
 
 START_MS = 10_000
--- a/tests/features/steps/confirming_steps.py
+++ b/tests/features/steps/confirming_steps.py
@@ -10,7 +10,7 @@
 from liftmount._internal.models.feeds import Delta
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import TARGETS
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 START_MS = 10_000
 TICK_MS = 50
--- a/tests/features/steps/forwarding_steps.py
+++ b/tests/features/steps/forwarding_steps.py
@@ -24,13 +24,13 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.models.records import changed
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteKind
 from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.segments import Segment
 from liftmount._internal.models.segments import ServiceShare
 from liftmount._internal.models.segments import TargetEntry
-from liftmount._internal.models.ticks import Tick
 
 START_MS = 1_000
 TICK_MS = 20
--- a/tests/features/steps/group_steps.py
+++ b/tests/features/steps/group_steps.py
@@ -28,7 +28,7 @@
 from liftmount._internal.models.objects import Claim
 from liftmount._internal.models.objects import ClaimState
 from liftmount._internal.models.objects import DomainStatus
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 
 TIMES = membership.MembershipTimes()
 STEP_MS = 25
--- a/tests/features/steps/own_link_steps.py
+++ b/tests/features/steps/own_link_steps.py
@@ -8,10 +8,10 @@
 from liftmount._internal.decisions.own_link import OwnLink
 from liftmount._internal.models import flow_messages as flows
 from liftmount._internal.models.addresses import parse_endpoint
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteKind
 from liftmount._internal.models.segments import ServiceShare
-from liftmount._internal.models.ticks import Tick
 from tests.features.steps.forwarding_steps import Balancer
 from tests.features.steps.forwarding_steps import make_balancer
 from tests.features.steps.forwarding_steps import make_entry
--- a/tests/features/steps/proof_steps.py
+++ b/tests/features/steps/proof_steps.py
@@ -18,7 +18,7 @@
 from liftmount._internal.models.feeds import Listing
 from liftmount._internal.models.feeds import TARGETS
 from liftmount._internal.models.records import changed
-from liftmount._internal.models.ticks import Tick
+from liftmount._internal.models.records import Tick
 from liftmount._internal.services.packet_path import PacketPath
 from liftmount._internal.services.probes import probe
 from liftmount._internal.utils.metrics import Metrics
@@ -41,6 +41,7 @@
         regions={},
         packets=Endpoint('127.0.0.1', 1),
         link_megabits_per_s=0.0,
+        shares_doubts=True,
     )
     clock = ManualClock(NOW_MS)
     log = StructuredLog(clock)
--- a/tests/features/steps/spreading_steps.py
+++ b/tests/features/steps/spreading_steps.py
@@ -24,11 +24,11 @@
 from liftmount._internal.models.feeds import TargetUnknown
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.records import changed
+from liftmount._internal.models.records import Tick
 from liftmount._internal.models.segments import Route
 from liftmount._internal.models.segments import RouteKind
 from liftmount._internal.models.segments import RouteTable
 from liftmount._internal.models.segments import ServiceShare
-from liftmount._internal.models.ticks import Tick
 from tests.features.steps.forwarding_steps import make_entry
 
 START_MS = 100_000
--- /dev/null
+++ b/tests/features/steps/stalls_steps.py
@@ -0,0 +1,323 @@
+"""Steps on targets that hang: stalls, and what members tell of them."""
+
+import random
+
+from attrs import define
+from attrs import Factory
+from behave import given
+from behave import then
+from behave import when
+
+from liftmount._internal.decisions import doubts
+from liftmount._internal.decisions import forwarding
+from liftmount._internal.decisions.flow_table import Flow
+from liftmount._internal.decisions.flow_table import Phase
+from liftmount._internal.decisions.pool import Pool
+from liftmount._internal.decisions.pool import TargetInfo
+from liftmount._internal.decisions.stalls import Stalled
+from liftmount._internal.decisions.stalls import StallWatch
+from liftmount._internal.exceptions import PacketError
+from liftmount._internal.models import flow_messages as flows
+from liftmount._internal.models import knowledge as wire
+from liftmount._internal.models.records import Tick
+from tests.features.steps.beliefs_steps import read_events
+from tests.features.steps.forwarding_steps import forwards
+from tests.features.steps.forwarding_steps import make_balancer
+from tests.features.steps.forwarding_steps import make_entry
+from tests.features.steps.forwarding_steps import make_table
+from tests.features.steps.forwarding_steps import send_data
+from tests.features.steps.own_link_steps import ADDRESS
+from tests.features.steps.own_link_steps import make_route
+
+START_MS = 100_000
+ANSWERS = 100
+TICK_MS = 20
+ANSWER_MS = 25
+AFTER_MS = 200
+TARGET = 'one'
+WAITED_MS = 300
+PARTS = {'a seventh': 7, 'half': 2}
+
+
+@given('answers of guide that take {answer:d} ms')
+def answers_take(context, answer):
+    balancer = context.balancer = make_balancer('a')
+    balancer.state.is_watching_stalls = True
+    balancer.put(make_entry(TARGET, 'guide', number=11))
+    table = make_table(3, [make_route()])
+    balancer.feed(flows.RoutesChanged(table, balancer.now_ms))
+    for _ in range(ANSWERS):
+        balancer.state.stalls.answered('guide', answer)
+
+
+@when('a request to guide waits for {wait:d} ms, {how}')
+def request_waits(context, wait, how):
+    balancer = context.balancer
+    balancer.send(1, ADDRESS, opens=True)
+    (sent,) = forwards(balancer.last)
+    send_data(balancer, 1, ADDRESS, tag=sent.tag)
+    if 'stands still' in how:
+        balancer.now_ms += wait
+        balancer.feed(Tick(balancer.now_ms))
+        return
+    balancer.state.health.is_link_busy = 'link is busy' in how
+    if 'after' in how:
+        balancer.pass_time(AFTER_MS)
+        wait -= AFTER_MS
+    if 'is answered' in how:
+        balancer.send(1, ADDRESS, sent.tag, acknowledgement=900)
+    elif 'sends more' in how:
+        send_data(balancer, 1, ADDRESS)
+    elif 'flow ends' in how:
+        balancer.send(1, ADDRESS, sent.tag, closes=True)
+    balancer.pass_time(wait)
+
+
+@then('it is a stall: {stall}')
+def is_stall(context, stall):
+    found = context.balancer.of(Stalled)
+    assert len(found) == (stall == 'yes'), found
+    load = context.balancer.state.pool('guide').targets[TARGET]
+    is_avoided = context.balancer.now_ms < load.ejected_until_ms
+    assert is_avoided == (stall == 'yes'), load
+
+
+@given('a member with {count:d} others')
+def member_with_others(context, count):
+    peers = tuple(f'm{number}' for number in range(count))
+    context.doubts = doubts.DoubtState('me', peers)
+    context.now_ms = START_MS
+
+
+def see(context, source, target=TARGET, ago_ms=0):
+    """Let a member see a target stall; return what is done about it."""
+    event = doubts.StallSeen(target, WAITED_MS, context.now_ms)
+    if source != 'me':
+        doubt = wire.Doubt(target, source, WAITED_MS, ago_ms)
+        event = doubts.DoubtArrived(doubt, context.now_ms)
+    return doubts.decide(context.doubts, event)
+
+
+@when('a target is seen to stall by, in this order: {events}')
+def seen_by(context, events):
+    context.held_ms = 0
+    for words in read_events(events):
+        match words:
+            case ['wait', interval]:
+                context.now_ms += int(interval)
+                context.held_ms = 0
+                actions = doubts.decide(context.doubts, Tick(context.now_ms))
+            case [source, ago, 'ms', 'ago']:
+                actions = see(context, source, ago_ms=int(ago))
+            case [source]:
+                actions = see(context, source)
+        for one in actions:
+            if isinstance(one, doubts.HoldOut):
+                context.held_ms = one.until_ms - context.now_ms
+
+
+@then('it is held out for {hold:d} ms, or up to twice as long')
+def held_out_for(context, hold):
+    assert hold <= context.held_ms <= 2 * hold, context.held_ms
+
+
+@then('of {count:d} members that hold a target out at most {most:d} try it '
+      'within 200 ms')  # fmt: skip
+def try_again(context, count, most):
+    untils = []
+    for number in range(count):
+        context.doubts = doubts.DoubtState(f'm{number}')
+        see(context, 'b')
+        (hold,) = see(context, 'c')
+        untils.append(hold.until_ms)
+    untils.sort()
+    assert untils[most] - untils[0] > 200, untils
+
+
+@when('{count:d} targets stall within 1000 ms, seen by {source}')
+def many_stall(context, count, source):
+    context.told = []
+    for number in range(count):
+        context.now_ms += 1_000 // count
+        actions = see(context, source, target=f't{number}')
+        context.told += [
+            one for one in actions if isinstance(one, doubts.TellDoubt)
+        ]
+
+
+@then('it tells at most {tells:d} times, each time {fanout:d} members')
+def tells_at_most(context, tells, fanout):
+    assert min(tells, 1) <= len(context.told) <= tells, len(context.told)
+    assert all(len(set(one.peers)) == fanout for one in context.told)
+
+
+@when('a doubt is told over the wire')
+def doubt_over_wire(context):
+    context.doubt = wire.Doubt('i-7f', 'one', 321, 45)
+    context.datagram = wire.encode_doubt(context.doubt)
+
+
+@then('it is the same, and random bytes are refused')
+def same_doubt(context):
+    assert wire.is_doubt(context.datagram)
+    assert not wire.is_beat(context.datagram)
+    assert wire.decode_doubt(context.datagram) == context.doubt
+    rng = random.Random(5)
+    for _ in range(ANSWERS):
+        try:
+            wire.decode_doubt(context.datagram[:1] + rng.randbytes(20))
+        except PacketError:
+            continue
+        raise AssertionError('random bytes were read')
+
+
+@given('a service of {count:d} targets')
+def service_of(context, count):
+    context.pool = make_pool(count, 1)
+
+
+def make_pool(count, seed):
+    """Return a pool of targets of the own domain."""
+    pool = Pool('guide', failure_domain='a', seed=seed, fade_ms=1_500)
+    for number in range(count):
+        pool.put(TargetInfo(f't{number}', 'a', slots=2), START_MS)
+    return pool
+
+
+@when('all of them are held out, one after the other')
+def all_held_out(context):
+    for name in context.pool.targets:
+        context.pool.hold_out(name, START_MS + 2_000, START_MS)
+
+
+@then('{left:d} still get new flows')
+def still_get_flows(context, left):
+    usable = context.pool.usable(START_MS)
+    assert len(usable) == left, len(usable)
+
+
+@define
+class Member:
+    """One balancer: its view of the targets, and what it was told."""
+
+    pool: Pool
+    doubts: doubts.DoubtState
+    watch: StallWatch = Factory(StallWatch)
+    inbox: list = Factory(list)
+
+
+class HangingService:
+    """Balancers before targets some of which never answer.
+
+    Flows open one after the other at a random balancer; what is told takes
+    a tick.  ``lost`` are the times of those that met a target that hangs.
+    """
+
+    def __init__(self, balancers, targets, hanging, is_telling):
+        self.rng = random.Random(11)
+        self.hanging = {f't{number}' for number in range(hanging)}
+        self.is_telling = is_telling
+        self.lost = []
+        self.ends = []
+        names = [f'm{number}' for number in range(balancers)]
+        self.members = {
+            name: Member(
+                make_pool(targets, 1 + index),
+                doubts.DoubtState(name, tuple(one for one in names)),
+            )
+            for index, name in enumerate(names)
+        }
+
+    def run(self, lasts_ms, per_s):
+        """Open flows for some time."""
+        owed = 0.0
+        for now_ms in range(START_MS, START_MS + lasts_ms, TICK_MS):
+            owed += per_s * TICK_MS / 1_000
+            while owed >= 1:
+                owed -= 1
+                self._open(
+                    self.rng.choice(list(self.members.values())), now_ms
+                )
+            self._answer(now_ms)
+            for name, member in self.members.items():
+                self._look(name, member, now_ms)
+
+    def _open(self, member, now_ms):
+        target = member.pool.choose_for_flow(now_ms)
+        flow = Flow(
+            b'', None, None, None, Phase.OPEN, now_ms, now_ms, target.name
+        )
+        flow.is_working = True
+        flow.working_ms = now_ms
+        member.pool.started(target.name, now_ms)
+        member.watch.began('guide', flow, now_ms)
+        if target.name in self.hanging:
+            self.lost.append(now_ms)
+        else:
+            self.ends.append((now_ms + ANSWER_MS, member, flow))
+
+    def _answer(self, now_ms):
+        while self.ends and self.ends[0][0] <= now_ms:
+            _end_ms, member, flow = self.ends.pop(0)
+            flow.is_working = False
+            member.pool.finished(flow.target, now_ms)
+            member.watch.answered('guide', ANSWER_MS)
+
+    def _look(self, name, member, now_ms):
+        heard, member.inbox = member.inbox, []
+        events = [doubts.DoubtArrived(doubt, now_ms) for doubt in heard]
+        for stall in member.watch.find(now_ms, True):
+            member.pool.avoid(stall.target, now_ms + forwarding.AVOID_MS)
+            events.append(
+                doubts.StallSeen(stall.target, stall.waited_ms, now_ms)
+            )
+        if not self.is_telling:
+            return
+        for event in events:
+            for action in doubts.decide(member.doubts, event):
+                self._obey(member, action, now_ms)
+
+    def _obey(self, member, action, now_ms):
+        match action:
+            case doubts.TellDoubt(doubt, peers):
+                for peer in peers:
+                    self.members[peer].inbox.append(doubt)
+            case doubts.HoldOut(target, until_ms):
+                member.pool.hold_out(target, until_ms, now_ms)
+
+
+@given('{balancers:d} balancers before {targets:d} targets, of which '
+       '{hanging:d} hang for {lasts:d} ms')  # fmt: skip
+def hanging_service(context, balancers, targets, hanging, lasts):
+    context.size = (balancers, targets, hanging)
+    context.lasts_ms = lasts
+
+
+@when('{per_s:d} flows a second open, and each knows what it saw itself')
+def own_views(context, per_s):
+    context.per_s = per_s
+    context.own = HangingService(*context.size, False)
+    context.own.run(context.lasts_ms, per_s)
+
+
+@when('the same flows open, and members tell each other what they saw')
+def told_views(context):
+    context.told = HangingService(*context.size, True)
+    per_s = getattr(context, 'per_s', 400)
+    context.told.run(context.lasts_ms, per_s)
+
+
+@then('at most {part} of the flows is lost')
+def lost_at_most(context, part):
+    own, told = len(context.own.lost), len(context.told.lost)
+    assert told * PARTS[part] <= own, (told, own)
+
+
+@then('each balancer still uses at least {least:d} targets')
+def still_uses(context, least):
+    now_ms = START_MS + context.lasts_ms
+    found = [
+        len(member.pool.usable(now_ms))
+        for member in context.told.members.values()
+    ]
+    assert min(found) >= least, min(found)
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -29,6 +29,9 @@
 EVACUATIONS = 'tests/features/decisions/evacuations.feature'
 CONFIRMING = 'tests/features/decisions/confirming.feature'
 COLD = 'tests/features/decisions/cold.feature'
+OWN_LINK = 'tests/features/decisions/own_link.feature'
+STALLS = 'tests/features/decisions/stalls.feature'
+FORWARDING = 'tests/features/decisions/forwarding.feature'
 LIMIT_S = 300
 NOTHING_RUN = re.compile(r'\b0 scenarios passed, 0 failed, \d+ skipped')
 
@@ -374,6 +377,78 @@
         COLD,
         'Openings go to the regions that a route allows',
     ),
+    Mutation(
+        'silence over a busy link counts as proof',
+        'services/packet_path.py',
+        'return not self.link.is_busy(sent.sent_ms)',
+        'return True',
+        TRANSFERS,
+        'Silence of a target says nothing while the own link is busy',
+    ),
+    Mutation(
+        'the own link is never busy',
+        'decisions/own_link.py',
+        'return now_ms < self.busy_until_ms',
+        'return False',
+        OWN_LINK,
+        'An upload burst resets no flow of a target that lives',
+    ),
+    Mutation(
+        'a suspected target gets new flows like any other',
+        'decisions/forwarding.py',
+        'is_avoided = event.is_dead or event.is_suspected',
+        'is_avoided = event.is_dead',
+        OWN_LINK,
+        'An upload burst resets no flow of a target that lives',
+    ),
+    Mutation(
+        'a refusal by a draining target proves its end',
+        'decisions/flow_table.py',
+        'return entry.draining\n',
+        'return False\n',
+        BELIEFS,
+        "Only what a target can't do while it serves proves its end",
+    ),
+    Mutation(
+        'requests at a target that restarted are left to wait',
+        'decisions/forwarding.py',
+        'actions.append(Forward(flow.request, entry, flow.tag))',
+        'pass',
+        FORWARDING,
+        'A target that started again under its name holds no flow of before',
+    ),
+    Mutation(
+        'what is told late takes a start back',
+        'decisions/directory.py',
+        'if is_late and _is_other_start(state, entry):',
+        'if False:',
+        BELIEFS,
+        'A start that was heard of is not taken back by what is told late',
+    ),
+    Mutation(
+        'a newcomer trusts lists that lag',
+        'decisions/spreading.py',
+        'if knows_all and is_new and _lacks_proof(state, now_ms):',
+        'if False:',
+        SPREADING,
+        'Who reads the store after a start',
+    ),
+    Mutation(
+        'one balancer convinces all that a target hangs',
+        'decisions/doubts.py',
+        'if len(fresh) < QUORUM:',
+        'if len(fresh) < 1:',
+        STALLS,
+        'Nobody is convinced by one balancer',
+    ),
+    Mutation(
+        'all targets may be held out',
+        'decisions/pool.py',
+        'if avoided + 1 <= MAX_HELD_OUT_SHARE * len(self.targets):',
+        'if True:',
+        STALLS,
+        'No more than a third of a service is held out',
+    ),
 )
 
 
