--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -160,8 +160,16 @@
     async def new_target(self, place: Place, service: str) -> None:
         """Start a target at an address."""
         self._numbers += 1
+        await self._start_target(place, self._numbers, service)
+
+    async def start_again(self, place: Place) -> None:
+        """Start a target that has ended, under the name that it had."""
+        ended = place.target
+        await self._start_target(place, ended.number, ended.service)
+
+    async def _start_target(self, place, number, service):
         place.target = Target(
-            self._numbers,
+            number,
             service,
             place.domain,
             place.proxy.forward,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,11 @@
 # Evacuations of a seed, and how long each lasts: longer than its bound.
 MOST_EVACUATIONS = 2
 EVACUATED_MS = (4_000, 9_000)
+# Restarts of targets of a seed, and how long each takes.
+MOST_RESTARTS = 3
+RESTARTED_MS = (300, 2_000)
+# Forms that a foreign entry may have, see strikes.py.
+FORMS = 4
 # How much longer than it must a target that leaves serves on.
 LINGERS_MS = (1_500, 4_000, 7_000)
 
@@ -149,6 +154,20 @@
     for_ms: int
 
 
+@frozen
+class TargetRestarted(TargetFault):
+    """A target forgets its flows, and starts again under its name."""
+
+    down_ms: int
+
+
+@frozen
+class ForeignEntry(Fault):
+    """Somebody else writes an entry that names no target."""
+
+    form: int
+
+
 @frozen
 class RoutesChanged(Fault):
     """A configuration adds a route or drops the last that was added."""
@@ -242,6 +261,25 @@
     return sorted(faults, key=lambda fault: fault.at_ms)
 
 
+def draw_oddities(seed: int, length_ms: int, targets: int) -> list[Fault]:
+    """Return restarts and foreign entries of a seed, beside its faults."""
+    draw = random.Random(f'oddities of {seed}')
+
+    def at_ms():
+        return draw.randint(FIRST_FAULT_MS, length_ms)
+
+    restarts = [
+        TargetRestarted(
+            at_ms(), draw.randrange(targets), draw.randint(*RESTARTED_MS)
+        )
+        for _ in range(draw.randint(1, MOST_RESTARTS))
+    ]
+    foreign = [
+        ForeignEntry(at_ms(), draw.randrange(FORMS)) for _ in range(FORMS)
+    ]
+    return [*restarts, *foreign]
+
+
 def draw_evacuations(seed: int, length_ms: int) -> list[DomainEvacuated]:
     """Return the evacuations of a seed, which come beside its faults."""
     draw = random.Random(f'evacuations of {seed}')
--- a/soak/run.py
+++ b/soak/run.py
@@ -65,6 +65,7 @@
     # What failed once is played as it was.
     if seed not in SEEDS:
         plan += faults.draw_evacuations(seed, length_ms)
+        plan += faults.draw_oddities(seed, length_ms, len(run.places))
     return sorted(plan, key=lambda fault: fault.at_ms)
 
 
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -19,6 +19,8 @@
 BACK_MS = 1_000
 # How long an address rests before another service may get it.
 REUSE_MS = 2_000
+# Numbers that no target of a run gets.
+FOREIGN_NUMBER = 0xF0000
 
 
 async def strike(run: Deployment, fault: faults.Fault) -> None:
@@ -45,6 +47,8 @@
             await _change_routes(run, fault)
         case faults.DomainEvacuated():
             await _evacuate(run, fault)
+        case faults.ForeignEntry():
+            await _write_foreign(run, fault)
 
 
 async def _strike_balancer(run, balancer, fault):
@@ -72,6 +76,8 @@
             await _replace(run, place, fault)
         case faults.TargetSlowed():
             await _slow(run, place, fault)
+        case faults.TargetRestarted():
+            await _restart(run, place, fault)
 
 
 def _live_place(run, index):
@@ -201,12 +207,37 @@
     else:
         await run.write_entry(target)
     run.witness.leaving_ms[target.name] = run.clock.now_ms()
-    await asyncio.sleep(seconds(promises.DRAIN_MS + fault.linger_ms))
+    await asyncio.sleep(seconds(promises.DRAIN_MS))
+    # It takes no connections any more, and serves on.
+    target.stop_listening()
+    await asyncio.sleep(seconds(fault.linger_ms))
     if target.state is not State.ENDED:
         target.end()
         await run.remove_entry(target)
 
 
+async def _restart(run, place, fault):
+    target = place.target
+    run.touch.disturb(target.name, float('inf'))
+    target.end()
+    await asyncio.sleep(seconds(fault.down_ms))
+    await run.start_again(place)
+    run.touch.disturb(target.name, run.clock.now_ms())
+
+
+async def _write_foreign(run, fault):
+    """Write an entry that names no target, and nobody's but its own."""
+    good = run.places[0].target.entry()
+    forms = (
+        {},
+        {**good, 'state': 'retired'},
+        {name: one for name, one in good.items() if name != 'capacity'},
+        {**good, 'address': ['nowhere']},
+    )
+    name = f'i-{FOREIGN_NUMBER + fault.form:x}'
+    await run.store.write('servers', name, forms[fault.form])
+
+
 async def _slow(run, place, fault):
     target = place.target
     target.factor = fault.factor
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -63,6 +63,7 @@
         self.witness = world.witness
         self.client_port = world.client_port
         self.state = State.READY
+        self.born_ms = self.clock.wall_ms()
         self.factor = 1.0
         self.flows = {}
         self.slots = asyncio.Semaphore(SLOTS)
@@ -87,8 +88,13 @@
             'state': self.state.value,
             'warmup_left_ms': 0,
             'sequence': 1,
+            'born': self.born_ms,
         }
 
+    def stop_listening(self) -> None:
+        """Take no connections any more."""
+        self._health.close()
+
     def end(self) -> None:
         """End at once; its flows are forgotten."""
         self.state = State.ENDED
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -349,6 +349,7 @@
         for fault in (
             *faults.draw_plan(seed, 20_000, 6, 9),
             *faults.draw_evacuations(seed, 20_000),
+            *faults.draw_oddities(seed, 20_000, 9),
         )
     }
     groups = {faults.Fault, faults.BalancerFault, faults.TargetFault}
