Keep nothing of requests where nobody watches for stalls; tell reasons, not stories

Reading the change: requests were queued for stalls also where the settings name no health rules, and nothing took them out again.

--- a/src/liftmount/_internal/decisions/doubts.py
+++ b/src/liftmount/_internal/decisions/doubts.py
@@ -74,7 +74,10 @@
 
 @define
 class _Target:
-    """Who saw a target stall, and when; how long it is held out."""
+    """Who saw a target stall, and when; since and until when it is held out.
+
+    ``hold_ms`` is the length of the last hold, 0 before the first one.
+    """
 
     seen_ms: dict[str, int] = Factory(dict)
     since_ms: int = 0
@@ -87,6 +90,7 @@
     """What is known of targets that stall, on a member of some name.
 
     ``peers`` are the live members; ``turn`` makes those who are told differ.
+    ``told`` counts what was told of late, up to ``told_ms``.
     """
 
     name: str
@@ -115,9 +119,10 @@
 def _note(state, doubt, now_ms):
     seen_ms = now_ms - doubt.age_ms
     target = state.targets.setdefault(doubt.target, _Target())
+    if doubt.age_ms > FRESH_MS:
+        return []
     # What began before a hold says nothing of the time after it.
-    is_before = seen_ms - doubt.waited_ms <= target.since_ms
-    if doubt.age_ms > FRESH_MS or is_before:
+    if target.hold_ms and seen_ms - doubt.waited_ms <= target.since_ms:
         return []
     known_ms = target.seen_ms.get(doubt.source)
     if known_ms is not None and seen_ms - known_ms < FRESH_MS:
@@ -128,7 +133,7 @@
 
 
 def _tell(state, doubt, now_ms):
-    """Tell a few members, the next ones each time."""
+    """Tell a few members, unless too much was told of late."""
     elapsed_ms = now_ms - state.told_ms
     state.told_ms = now_ms
     earned = elapsed_ms * TELLS_PER_S / MS_PER_S
--- a/src/liftmount/_internal/decisions/flow_evidence.py
+++ b/src/liftmount/_internal/decisions/flow_evidence.py
@@ -12,11 +12,10 @@
 from liftmount._internal.decisions.target_health import TargetSilent
 from liftmount._internal.models.segments import Segment
 
-# Sequence numbers are modulo 2**32; a difference above half is negative.
 # Clients send data again after 200 ms.  What comes sooner was overtaken by
-# its successor on the way: of 176 such signs on a day without trouble all
-# came within 1 ms, and each cost a probe.
+# its successor on the way.
 RESEND_MS = 150
+# Sequence numbers are modulo 2**32; a difference above half is negative.
 SEQUENCE_MASK = 2**32 - 1
 HALF_SEQUENCE = 2**31
 
@@ -54,16 +53,17 @@
 
 def _note_request(state, segment, flow, is_working, now_ms):
     note_work(state, flow, is_working, now_ms)
-    if is_working:
-        flow.request = segment
-        entry = state.tags.entries.get(flow.target)
-        if entry is not None:
-            state.stalls.began(entry.service, flow, now_ms)
+    if not is_working:
+        return
+    flow.request = segment
+    entry = state.tags.entries.get(flow.target)
+    if state.is_watching_stalls and entry is not None:
+        state.stalls.began(entry.service, flow, now_ms)
 
 
 def _note_answer(state, flow, now_ms):
     entry = state.tags.entries.get(flow.target)
-    if flow.is_working and entry is not None:
+    if state.is_watching_stalls and flow.is_working and entry is not None:
         state.stalls.answered(entry.service, now_ms - flow.working_ms)
 
 
--- a/src/liftmount/_internal/decisions/following.py
+++ b/src/liftmount/_internal/decisions/following.py
@@ -59,9 +59,8 @@
 LONGEST_RETRY_MS = 1_500
 # A balancer that starts has read the lists; by then it mostly knows who of
 # its domain reads the store for all, and need not watch itself.  Who does
-# is answered at once: with a watch that waits, the first proof came 4.8 s
-# after a start of all, when every member held its knowledge for stale and
-# had begun to read as well.
+# is answered at once, or all members would begin to read before its first
+# proof.
 SETTLE_MS = 2_000
 # How long after the start of its process a balancer proves at the latest what
 # it read at first: on a small instance, where all takes longer, SETTLE_MS
@@ -331,9 +330,7 @@
 def _hurried(state):
     if state.is_resting or (state.must_list and state.is_calling):
         # The list under way tells it all.  Begun anew whenever a segment
-        # waited for a target, it never ended: of 12 balancers before 3,000
-        # targets on links of 5 Mbit/s 11 had it 3.0 to 3.4 s after a start,
-        # and the one on a fast link after 1.2 s.
+        # waits for a target, it would never end on a slow link.
         return []
     return _hurry(state)
 
@@ -407,8 +404,8 @@
     """Return a watch that ends a fixed time after the last proof.
 
     The proof is as old as the beginning of the last answer.  With a whole
-    wait after the pause, each change was followed by 6 s without a proof,
-    and all members of a domain began to read the store.
+    wait after the pause there would be no proof for so long after a change
+    that all members of a domain began to read the store.
     """
     left_ms = state.times.watch_ms - pause_ms - lasted_ms
     # A change hidden by a connection that fell silent is found after the
@@ -430,8 +427,7 @@
     state.failures += 1
     first_ms = FIRST_RETRY_MS
     if state.is_helping and state.revision is not None:
-        # The store is away for all, or this balancer alone is cut off.  Of 23
-        # balancers 12 helped while it was silent for 5 s, with 6 calls each.
+        # The store is away for all, or this balancer alone is cut off.
         first_ms = LONGEST_RETRY_MS
     doubled_ms = first_ms * 2 ** min(state.failures - 1, 10)
     pause_ms = min(doubled_ms, LONGEST_RETRY_MS) * (0.5 + state.jitter)
@@ -442,6 +438,5 @@
     if state.must_list:
         return [*lost, List(pause_ms, may_lag=state.revision is None)]
     # Answered at once it proves that nothing was missed.  Else members would
-    # hold what they know for stale and read the store themselves: after a
-    # watch that fell silent 6 of 9 did, 4.5 s after the last answer.
+    # hold what they know for stale and read the store themselves.
     return [*lost, _catch_up(state, pause_ms)]
--- a/src/liftmount/_internal/decisions/pool.py
+++ b/src/liftmount/_internal/decisions/pool.py
@@ -36,8 +36,8 @@
 IN_PROGRESS_WEIGHT = 0.05
 # A target of the owner's own failure domain wins near ties.
 REMOTE_PENALTY = 0.002
-# Part of a full share that a target gets while it says that it warms up;
-# measured on targets whose work takes 1.6 times as long meanwhile.
+# Part of a full share that a target gets while it says that it warms up:
+# its work takes about 1.6 times as long meanwhile.
 WARMING_SHARE = 0.6
 # Slots that a flow is expected to take, beside what runs now: one that is
 # open without a request, and one that is about to open.
--- a/src/liftmount/_internal/decisions/spreading.py
+++ b/src/liftmount/_internal/decisions/spreading.py
@@ -38,8 +38,7 @@
 BEAT_MS = 400
 # Who has missed two beats, or whose knowledge is nearly too old, asks peers
 # for a beat.  Views of who is there differ for seconds while many come and
-# go, and a parent then sends nothing to some of its children: of 50 members
-# all read the store again and again while 40 % were restarted in turn.
+# go, and a parent then sends nothing to some of its children.
 ASK_AFTER_MS = 1_000
 # Between two questions: some fall into the time until the store is read.
 ASK_EVERY_MS = 200
@@ -50,11 +49,10 @@
 # Members start to read spread over this time, as all miss the same beat.
 SPREAD_MS = 400
 # Members further down the tree begin this much later for each level: those
-# above them tell them by then, if they reach the store.  When a store was
-# silent for 5 s, all 39 members of a domain below its root began to read.
+# above them tell them by then, if they reach the store.
 LEVEL_MS = 600
-# Until a newcomer has heard who else is there it takes itself for the root.
-# Of 40 members that start at once and know all, each made two calls for it.
+# Until a newcomer has heard who else is there it takes itself for the root,
+# and would read the store for nobody.
 SETTLE_MS = 1_500
 # Changes stay in beats for this long, so that one lost beat costs nothing.
 REPEAT_MS = 1_500
--- a/src/liftmount/_internal/decisions/target_health.py
+++ b/src/liftmount/_internal/decisions/target_health.py
@@ -48,8 +48,7 @@
 LIFE_MS = 30
 # How long an answered probe speaks for a target, at first and at most; it
 # doubles while flows go on to speak against it.  A target that is slow under
-# load is not dead, and probes are load: without this bound 12 balancers sent
-# up to 570 a second to 6 targets in a fault soak, which never recovered.
+# load is not dead, and probes are load.
 FIRST_TRUST_MS = 300
 LONGEST_TRUST_MS = 2_400
 
--- a/src/liftmount/_internal/services/early.py
+++ b/src/liftmount/_internal/services/early.py
@@ -128,9 +128,8 @@
     def hand_over(self) -> None:
         """Leave the lists that are not there yet to the event loop.
 
-        What has arrived of them is kept.  Asking anew made routes that took
-        0.1 s to transfer come 0.8 s after a start (median of 50 balancers
-        on half a core, 1,880 routes).
+        What has arrived of them is kept, as a transfer takes long on a slow
+        link.
         """
         self._early.begun.update(self._lists)
         self._lists.clear()
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -192,10 +192,7 @@
         return True
 
     def _learn_all(self, members, peer):
-        """Take over a list of members; one line of the log tells of all.
-
-        A line for each was a fifth of the log of a start of 195 balancers.
-        """
+        """Take over a list of members; one line of the log tells of all."""
         now_ms = self.clock.now_ms()
         learned = membership.learn_all(self.members, members, now_ms)
         if not learned:
--- a/tests/features/decisions/stalls.feature
+++ b/tests/features/decisions/stalls.feature
@@ -92,3 +92,10 @@
     Given 96 balancers before 60 targets, of which 60 hang for 3000 ms
     When the same flows open, and members tell each other what they saw
     Then each balancer still uses at least 20 targets
+
+  Scenario: Where nobody asks for stalls nothing is kept of requests
+    Given answers of guide that take 25 ms
+    And nobody watches for stalls
+    When a request to guide waits for 3000 ms, no more
+    Then it is a stall: no
+    And no request is kept
--- a/tests/features/steps/stalls_steps.py
+++ b/tests/features/steps/stalls_steps.py
@@ -321,3 +321,14 @@
         for member in context.told.members.values()
     ]
     assert min(found) >= least, min(found)
+
+
+@given('nobody watches for stalls')
+def nobody_watches(context):
+    context.balancer.state.is_watching_stalls = False
+
+
+@then('no request is kept')
+def no_request_kept(context):
+    services = context.balancer.state.stalls.services.values()
+    assert not any(one.waiting for one in services)
