Tell a stall that waited on its way from another one

A datagram that a busy member reads seconds late was new again to all that had forgotten it, and could hold a target out that answers: found by reading.

--- a/src/liftmount/_internal/decisions/doubts.py
+++ b/src/liftmount/_internal/decisions/doubts.py
@@ -76,10 +76,12 @@
 class _Target:
     """Who saw a target stall, and when; since and until when it is held out.
 
+    ``numbers`` are those of the last stalls that each source told, and
     ``hold_ms`` is the length of the last hold, 0 before the first one.
     """
 
     seen_ms: dict[str, int] = Factory(dict)
+    numbers: dict[str, int] = Factory(dict)
     since_ms: int = 0
     until_ms: int = 0
     hold_ms: int = 0
@@ -105,7 +107,8 @@
     """Return whom to tell, and which targets to hold out."""
     match event:
         case StallSeen(target, waited_ms, now_ms):
-            doubt = Doubt(target, state.name, waited_ms, 0)
+            # Its time is a number that grows.
+            doubt = Doubt(target, state.name, waited_ms, 0, now_ms)
             return _note(state, doubt, now_ms)
         case DoubtArrived(doubt, now_ms):
             if doubt.source == state.name:
@@ -124,6 +127,10 @@
     # What began before a hold says nothing of the time after it.
     if target.hold_ms and seen_ms - doubt.waited_ms <= target.since_ms:
         return []
+    # What waited on its way must not pass for another stall.
+    if doubt.number <= target.numbers.get(doubt.source, -1):
+        return []
+    target.numbers[doubt.source] = doubt.number
     known_ms = target.seen_ms.get(doubt.source)
     if known_ms is not None and seen_ms - known_ms < FRESH_MS:
         return []
--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -56,12 +56,16 @@
 
 @message
 class Doubt(Message):
-    """``source`` saw a target stall ``age_ms`` ago, after ``waited_ms``."""
+    """``source`` saw a target stall ``age_ms`` ago, after ``waited_ms``.
+
+    ``number`` grows with each stall that the source sees of a target.
+    """
 
     target: str
     source: str
     waited_ms: int
     age_ms: int
+    number: int
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -118,6 +122,7 @@
             doubt.source,
             doubt.waited_ms,
             doubt.age_ms,
+            doubt.number,
         ]
     )
 
@@ -130,8 +135,9 @@
 def decode_doubt(datagram: bytes) -> Doubt:
     """Read what one has seen; raises PacketError on anything else."""
     try:
-        _mark, target, source, waited_ms, age_ms = cbor2.loads(datagram)
-        return Doubt(str(target), str(source), int(waited_ms), int(age_ms))
+        _mark, target, source, *numbers = cbor2.loads(datagram)
+        waited_ms, age_ms, number = (max(0, int(one)) for one in numbers)
+        return Doubt(str(target), str(source), waited_ms, age_ms, number)
     except Exception as error:
         # The library raises whatever the bytes make it stumble over.
         raise PacketError(f'not a doubt: {error}') from error
--- a/tests/features/decisions/stalls.feature
+++ b/tests/features/decisions/stalls.feature
@@ -35,6 +35,8 @@
       | b, wait 1600, c                          | 0    |
       | b 1600 ms ago, c                         | 0    |
       | b 1000 ms ago, c                         | 2000 |
+      | b, wait 1600, b, c                       | 2000 |
+      | b, wait 1600, b again, c                 | 0    |
       | b, c, d                                  | 2000 |
       | b, c, wait 2500, b                       | 0    |
       | b, c, wait 2500, b, c                    | 4000 |
--- a/tests/features/steps/stalls_steps.py
+++ b/tests/features/steps/stalls_steps.py
@@ -89,11 +89,12 @@
     context.now_ms = START_MS
 
 
-def see(context, source, target=TARGET, ago_ms=0):
+def see(context, source, target=TARGET, ago_ms=0, number=None):
     """Let a member see a target stall; return what is done about it."""
     event = doubts.StallSeen(target, WAITED_MS, context.now_ms)
     if source != 'me':
-        doubt = wire.Doubt(target, source, WAITED_MS, ago_ms)
+        number = context.now_ms if number is None else number
+        doubt = wire.Doubt(target, source, WAITED_MS, ago_ms, number)
         event = doubts.DoubtArrived(doubt, context.now_ms)
     return doubts.decide(context.doubts, event)
 
@@ -109,6 +110,8 @@
                 actions = doubts.decide(context.doubts, Tick(context.now_ms))
             case [source, ago, 'ms', 'ago']:
                 actions = see(context, source, ago_ms=int(ago))
+            case [source, 'again']:
+                actions = see(context, source, number=START_MS)
             case [source]:
                 actions = see(context, source)
         for one in actions:
@@ -153,7 +156,7 @@
 
 @when('a doubt is told over the wire')
 def doubt_over_wire(context):
-    context.doubt = wire.Doubt('i-7f', 'one', 321, 45)
+    context.doubt = wire.Doubt('i-7f', 'one', 321, 45, 6)
     context.datagram = wire.encode_doubt(context.doubt)
 
 
