Read the mark of a datagram in one place; look a target up only where stalls are watched

Reading the change: a third copy of the same check came with doubts, and each segment with data or progress looked its target up also where nobody watches for stalls. Behaviour stays as it is.

--- a/src/liftmount/_internal/decisions/flow_evidence.py
+++ b/src/liftmount/_internal/decisions/flow_evidence.py
@@ -56,14 +56,18 @@
     if not is_working:
         return
     flow.request = segment
+    if not state.is_watching_stalls:
+        return
     entry = state.tags.entries.get(flow.target)
-    if state.is_watching_stalls and entry is not None:
+    if entry is not None:
         state.stalls.began(entry.service, flow, now_ms)
 
 
 def _note_answer(state, flow, now_ms):
+    if not (state.is_watching_stalls and flow.is_working):
+        return
     entry = state.tags.entries.get(flow.target)
-    if state.is_watching_stalls and flow.is_working and entry is not None:
+    if entry is not None:
         state.stalls.answered(entry.service, now_ms - flow.working_ms)
 
 
--- a/src/liftmount/_internal/models/knowledge.py
+++ b/src/liftmount/_internal/models/knowledge.py
@@ -88,7 +88,7 @@
 
 def is_beat(datagram: bytes) -> bool:
     """Tell whether a datagram of a peer is a beat."""
-    return len(datagram) > 1 and datagram[1] == BEAT_MARK
+    return _has_mark(datagram, BEAT_MARK)
 
 
 def encode_ask(sender: str) -> bytes:
@@ -98,7 +98,7 @@
 
 def is_ask(datagram: bytes) -> bool:
     """Tell whether a datagram of a peer asks for a beat."""
-    return len(datagram) > 1 and datagram[1] == ASK_MARK
+    return _has_mark(datagram, ASK_MARK)
 
 
 def decode_ask(datagram: bytes) -> str:
@@ -129,7 +129,7 @@
 
 def is_doubt(datagram: bytes) -> bool:
     """Tell whether a datagram of a peer tells of a target that stalls."""
-    return len(datagram) > 1 and datagram[1] == DOUBT_MARK
+    return _has_mark(datagram, DOUBT_MARK)
 
 
 def decode_doubt(datagram: bytes) -> Doubt:
@@ -235,6 +235,11 @@
         raise PacketError(f'not members: {error}') from error
 
 
+def _has_mark(datagram, mark):
+    """Tell whether a mark stands behind the head of a list."""
+    return len(datagram) > 1 and datagram[1] == mark
+
+
 def _encode_target(entry):
     return [
         entry.name,
