Count messages of unknown members and refuted doubts

Two hypotheses on members that others do not list or hold for dead had no figure to tell them apart: that a sender stays unknown however often it sends, and that deaths are refuted but the refutation gets lost.

membership.unknown_sender and membership.refuted count both; a balancer on the platform logs each refuted doubt with its status and version.

--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -91,6 +91,24 @@
     """Updates were left out of a message: the byte budget is spent."""
 
 
+@frozen
+class UnknownSender:
+    """A message came from a process whose record is not held."""
+
+    name: str
+
+
+@frozen
+class Refuted:
+    """Another member doubted this one, which raised its version.
+
+    ``status`` is the status it had been given.
+    """
+
+    status: MemberStatus
+    version: int
+
+
 @define
 class _Probe:
     target: str
@@ -213,7 +231,7 @@
         return []
     state.own = evolve(state.own, version=member.version + 1)
     _queue_gossip(state, state.own.name)
-    return []
+    return [Refuted(member.status, state.own.version)]
 
 
 def _queue_gossip(state, name):
@@ -355,6 +373,8 @@
     for record in updates:
         actions += learn(state, parse_member(record), now_ms)
     known = state.members.get(sender)
+    if known is None or known.incarnation < incarnation:
+        actions.append(UnknownSender(sender))
     destination = event.source if known is None else known.peer
     if kind == PING:
         actions += _send_ack(state, sequence, destination, known, is_joining)
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -200,7 +200,11 @@
     def _add_members(self, members, peer):
         """Add a list of members and log their number."""
         now_ms = self.clock.now_ms()
-        learned = membership.learn_all(self.members, members, now_ms)
+        learned = [
+            one
+            for one in membership.learn_all(self.members, members, now_ms)
+            if isinstance(one, membership.MemberChanged)
+        ]
         if not learned:
             return
         self.log.write(
@@ -415,6 +419,10 @@
                     self._pull_from_other_domain(member)
                 case membership.BudgetSpent():
                     self.counters.count('refused.control_budget_spent')
+                case membership.UnknownSender():
+                    self.counters.count('membership.unknown_sender')
+                case membership.Refuted():
+                    self._log_refuted(action)
                 case _:
                     self._execute_dissemination(action)
         if is_reordered:
@@ -463,6 +471,15 @@
             leaving=member.leaving,
         )
 
+    def _log_refuted(self, action):
+        self.counters.count('membership.refuted')
+        self.log.write(
+            self.name,
+            'refuted',
+            status=action.status.name.lower(),
+            version=action.version,
+        )
+
     def _send_to(self, datagram, names):
         for name in names:
             member = self.members.members.get(name)
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -155,12 +155,21 @@
                     self._request_pull(action.member)
                 case membership.BudgetSpent():
                     self.counters.refused(Reason.CONTROL_BUDGET_SPENT)
+                case membership.UnknownSender():
+                    self.counters.count('membership.unknown_sender')
+                case membership.Refuted():
+                    self._log_refuted(action)
 
     @staticmethod
     def _log_change(member):
         status = member.status.name.lower()
         LOG.info('Member %s is %s.', member.name, status)
 
+    def _log_refuted(self, action):
+        self.counters.count('membership.refuted')
+        status = action.status.name.lower()
+        LOG.info('Was %s; now at version %d.', status, action.version)
+
     def _request_pull(self, member):
         now_ms = self.clock.now_ms()
         if now_ms < self._next_pull_ms:
