Members compare their lists and ask unknown senders for their records

Callers saw: a balancer that does not list the home of a flow refuses the flow's packets (unknown_peer) for as long as it runs, and a deployment did not start within 20 s ("domain b misses lm-4", lm-4 never listed lm-3).

Cause: a record is gossiped a counted number of times, and nobody compares lists. An ACK to a known sender carries no record of its own, a sender whose record is not held was answered without being asked for it, and a seed is probed only while its address is unknown.

Fix: an ACK to a sender without a current record asks for it, which the sender answers with a ping that carries it (one round trip). Pings and ACKs state a digest of the list; two that differ for a while are narrowed down by digests of ranges to the few records that differ, which are exchanged (anti-entropy). Departures and deaths that gossip missed are passed on the same way. On the users' platform lists are compared within a failure domain, as other domains are known by a few members only.

Messages have two more fields at the end; balancers of an earlier version ignore them.

--- a/benches/capacity.py
+++ b/benches/capacity.py
@@ -197,10 +197,8 @@
     states = []
     for member in members:
         state = membership.make_membership(member, TIMES, (), 0)
-        for other in members:
-            if other is not member:
-                state.members[other.name] = other
-                state.changed_ms[other.name] = 0
+        others = [other for other in members if other is not member]
+        membership.learn_all(state, others, 0)
         states.append(state)
         by_peer[member.peer] = state
     now_ms = 0
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -142,7 +142,12 @@
             incarnation=incarnation,
         )
         self.members = membership.make_membership(
-            own, membership.MembershipTimes(), options.seeds, now_ms
+            own,
+            membership.MembershipTimes(),
+            options.seeds,
+            now_ms,
+            # Other domains are known by a few members only.
+            compared_domain=options.failure_domain,
         )
         self._update_revisions()
         await self._server.start(options.peer)
@@ -423,6 +428,8 @@
                     self.counters.count('membership.unknown_sender')
                 case membership.Refuted():
                     self._log_refuted(action)
+                case membership.ListsDiffer():
+                    self._log_difference(action)
                 case _:
                     self._execute_dissemination(action)
         if is_reordered:
@@ -480,6 +487,15 @@
             version=action.version,
         )
 
+    def _log_difference(self, action):
+        self.counters.count('membership.lists_differ')
+        self.log.write(
+            self.name,
+            'lists_differ',
+            peer=action.member.name,
+            members=action.own_count,
+        )
+
     def _send_to(self, datagram, names):
         for name in names:
             member = self.members.members.get(name)
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -159,6 +159,8 @@
                     self.counters.count('membership.unknown_sender')
                 case membership.Refuted():
                     self._log_refuted(action)
+                case membership.ListsDiffer():
+                    self._log_difference(action)
 
     @staticmethod
     def _log_change(member):
@@ -170,6 +172,14 @@
         status = action.status.name.lower()
         LOG.info('Was %s; now at version %d.', status, action.version)
 
+    def _log_difference(self, action):
+        self.counters.count('membership.lists_differ')
+        LOG.info(
+            'Compares its list of %d members with that of %s.',
+            action.own_count,
+            action.member.name,
+        )
+
     def _request_pull(self, member):
         now_ms = self.clock.now_ms()
         if now_ms < self._next_pull_ms:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -21,6 +21,7 @@
 ISOLATION = 'tests/features/promises/isolation.feature'
 STOP = 'tests/features/promises/planned_stop.feature'
 GROUP = 'tests/features/decisions/group.feature'
+LOSSY_NETWORK = 'tests/features/decisions/lossy_network.feature'
 SOAK = 'tests/features/platform/soak.feature'
 DISSEMINATION = 'tests/features/decisions/dissemination.feature'
 STORE_CACHE = 'tests/features/decisions/store_cache.feature'
@@ -156,6 +157,22 @@
         'tests/features/promises/configuration.feature',
         'domain a cannot reach the platform',
     ),
+    Mutation(
+        'membership: an unknown sender is not asked for its record',
+        'decisions/membership.py',
+        'if message.extra == RECORD_WANTED:',
+        'if False:',
+        LOSSY_NETWORK,
+        'hears of an unknown one',
+    ),
+    Mutation(
+        'membership: lists are not compared',
+        'decisions/membership.py',
+        'if not state.comparison.is_due(now_ms):',
+        'if True:',
+        LOSSY_NETWORK,
+        'Lists that differ agree',
+    ),
     Mutation(
         'lease: acquired before it has expired',
         'decisions/lease.py',
