Members verify suspicions, refute them directly and excuse their own stalls

Callers saw: balancers that live were held for dead, so that flows of a living home were taken over or refused; with losses or stalls this went on for minutes.

Cause: a suspect learned of the suspicion, and the others of its refutation, by chance of gossip within 1.2 s only; who marked it dead by a record that was refuted already was corrected by nobody; false suspicions spread so much gossip that the byte budget was spent and refutations were left out; and a member whose process had stalled blamed those whose answers waited in its socket.

It is another fault than the records that gossip misses: comparisons of lists alone left it as it was.

Each message to a member that is doubted carries its record, and its refutation goes straight back. An ACK returns the current record for an outdated one. A tick that comes 200 ms late moves probes and suspicions by that time; membership.stalled_ms adds it up.

--- a/src/liftmount/_internal/decisions/gossip.py
+++ b/src/liftmount/_internal/decisions/gossip.py
@@ -13,6 +13,7 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.members import member_record
 from liftmount._internal.models.membership_messages import MembershipMessage
+from liftmount._internal.models.membership_messages import PING
 
 UPDATES_PER_MESSAGE = 6
 UPDATES_FOR_JOINING = 10
@@ -63,6 +64,26 @@
     return [*actions, *_send_message(state, destination, message)]
 
 
+def introduce(
+    state: MembershipState,
+    destination: Endpoint,
+    extra: str = '',
+    others: tuple[str, ...] = (),
+) -> list:
+    """Return the actions that send a ping with the own record first.
+
+    The records ``others`` follow it.
+    """
+    return send(
+        state,
+        PING,
+        state.next_sequence(),
+        destination,
+        extra=extra,
+        first=(state.own.name, *others),
+    )
+
+
 def send_range(
     state: MembershipState,
     kind: int,
--- a/src/liftmount/_internal/decisions/membership.py
+++ b/src/liftmount/_internal/decisions/membership.py
@@ -7,11 +7,15 @@
 Members also compare their lists, see ``member_comparison``.
 """
 
+from liftmount._internal.decisions import failure_detector
 from liftmount._internal.decisions import member_comparison
-from liftmount._internal.decisions.gossip import queue_gossip
-from liftmount._internal.decisions.gossip import refill_credit
+from liftmount._internal.decisions.failure_detector import doubted_names
+from liftmount._internal.decisions.gossip import introduce
 from liftmount._internal.decisions.gossip import send
 from liftmount._internal.decisions.gossip import send_range
+from liftmount._internal.decisions.member_records import announce
+from liftmount._internal.decisions.member_records import learn
+from liftmount._internal.decisions.member_records import learn_all
 from liftmount._internal.decisions.membership_state import BudgetSpent
 from liftmount._internal.decisions.membership_state import DigestDiffers
 from liftmount._internal.decisions.membership_state import ListsDiffer
@@ -20,33 +24,28 @@
 from liftmount._internal.decisions.membership_state import MembershipState
 from liftmount._internal.decisions.membership_state import MembershipTimes
 from liftmount._internal.decisions.membership_state import MessageArrived
-from liftmount._internal.decisions.membership_state import Probe
 from liftmount._internal.decisions.membership_state import Refuted
 from liftmount._internal.decisions.membership_state import SendDatagram
+from liftmount._internal.decisions.membership_state import Stalled
 from liftmount._internal.decisions.membership_state import UnknownSender
 from liftmount._internal.exceptions import PacketError
 from liftmount._internal.models import membership_messages
 from liftmount._internal.models.addresses import parse_endpoint
 from liftmount._internal.models.members import Member
-from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.members import parse_member
 from liftmount._internal.models.membership_messages import ACK
 from liftmount._internal.models.membership_messages import COMPARE
 from liftmount._internal.models.membership_messages import JOIN
 from liftmount._internal.models.membership_messages import parse_message
 from liftmount._internal.models.membership_messages import PING
-from liftmount._internal.models.membership_messages import PING_REQUEST
 from liftmount._internal.models.membership_messages import RECORD_WANTED
 from liftmount._internal.models.membership_messages import RECORDS
 from liftmount._internal.models.membership_messages import RECORDS_REPLY
-from liftmount._internal.models.records import evolve
 from liftmount._internal.models.records import Tick
 
-INDIRECT_PROBES = 2
-# Dead members are probed every few periods, to notice healed partitions.
-DEAD_PROBE_PERIODS = 4
-DEAD_KEPT_MS = 600_000
 MAX_RELAYED = 64
+# Newer records that an ACK returns for outdated ones.
+MAX_CORRECTIONS = 3
 
 __all__ = (
     'announce',
@@ -64,6 +63,7 @@
     'MessageArrived',
     'Refuted',
     'SendDatagram',
+    'Stalled',
     'UnknownSender',
 )
 
@@ -72,182 +72,12 @@
     """Return the actions for a Tick or a MessageArrived."""
     match event:
         case Tick():
-            return _tick(state, event.now_ms)
+            return failure_detector.tick(state, event.now_ms)
         case MessageArrived():
             return _on_message(state, event)
     raise TypeError(f'unknown event {event!r}')
 
 
-def announce(state: MembershipState, **changes) -> None:
-    """Change this member's own record and gossip it."""
-    version = state.own.version + 1
-    state.store_own(evolve(state.own, version=version, **changes))
-    queue_gossip(state, state.own.name)
-
-
-def learn_all(state: MembershipState, members, now_ms: int) -> list:
-    """Apply a list of records; return the actions.
-
-    They are not gossiped further: other starting members fetch lists too, and
-    gossip of all records would spend the byte budget.
-    """
-    actions = []
-    for member in members:
-        was_queued = member.name in state.gossip
-        actions += learn(state, member, now_ms)
-        if member.name != state.own.name and not was_queued:
-            state.gossip.pop(member.name, None)
-    return actions
-
-
-def learn(state: MembershipState, member: Member, now_ms: int) -> list:
-    """Apply a record if it is newer than the one held; return actions."""
-    if member.name == state.own.name:
-        return _refute(state, member)
-    known = state.members.get(member.name)
-    if known is not None and not member.newer_than(known):
-        return []
-    state.store(member, now_ms)
-    if member.status is MemberStatus.ALIVE:
-        state.doubtful.discard(member.name)
-    else:
-        state.doubtful.add(member.name)
-    queue_gossip(state, member.name)
-    return [MemberChanged(member)]
-
-
-def _refute(state, member):
-    """Refute a wrong record of this member by a newer version."""
-    if member.incarnation > state.own.incarnation:
-        # From an earlier process of this name, whose clock was ahead.
-        incarnation = member.incarnation + 1
-        state.store_own(evolve(state.own, incarnation=incarnation))
-        queue_gossip(state, state.own.name)
-        return []
-    if member.incarnation != state.own.incarnation:
-        return []
-    if not member.newer_than(state.own):
-        return []
-    state.store_own(evolve(state.own, version=member.version + 1))
-    queue_gossip(state, state.own.name)
-    return [Refuted(member.status, state.own.version)]
-
-
-def _tick(state, now_ms):
-    refill_credit(state, now_ms)
-    actions = _check_probes(state, now_ms)
-    actions += _check_suspects(state, now_ms)
-    if now_ms >= state.next_period_ms:
-        state.next_period_ms = now_ms + state.times.period_ms
-        state.periods += 1
-        actions += _start_period(state, now_ms)
-    return actions
-
-
-def _start_period(state, now_ms):
-    actions = []
-    target = _next_target(state)
-    if target is not None:
-        sequence = state.next_sequence()
-        state.probes[sequence] = Probe(target.name, now_ms)
-        actions += send(state, PING, sequence, target.peer)
-    if state.periods % DEAD_PROBE_PERIODS == 0 or target is None:
-        actions += _probe_unreachable(state)
-    return actions
-
-
-def _probe_unreachable(state):
-    """Ping a dead member or an unknown seed that may be back."""
-    doubtful = [state.members[name] for name in sorted(state.doubtful)]
-    candidates = [
-        one.peer for one in doubtful if one.status is MemberStatus.DEAD
-    ]
-    known = {one.peer for one in state.members.values()}
-    candidates += [seed for seed in state.seeds if seed not in known]
-    if not candidates:
-        return []
-    destination = candidates[state.random(len(candidates))]
-    extra = JOIN if not state.reachable() else ''
-    return _introduce(state, destination, extra)
-
-
-def _introduce(state, destination, extra=''):
-    """Send a ping that carries the own record first."""
-    return send(
-        state,
-        PING,
-        state.next_sequence(),
-        destination,
-        extra=extra,
-        first=(state.own.name,),
-    )
-
-
-def _next_target(state):
-    while state.order:
-        member = state.members.get(state.order.pop())
-        if member is not None and member.reachable:
-            return member
-    names = [one.name for one in state.reachable()]
-    if not names:
-        return None
-    for index in range(len(names) - 1, 0, -1):
-        other = state.random(index + 1)
-        names[index], names[other] = names[other], names[index]
-    state.order = names
-    return state.members[state.order.pop()]
-
-
-def _check_probes(state, now_ms):
-    actions = []
-    for sequence, probe in list(state.probes.items()):
-        waited_ms = now_ms - probe.sent_ms
-        if waited_ms >= state.times.period_ms:
-            del state.probes[sequence]
-            actions += _suspect(state, probe.target, now_ms)
-        elif probe.attempts == 1 and waited_ms >= state.times.probe_timeout_ms:
-            probe.attempts += 1
-            actions += _request_indirect_probes(state, sequence, probe.target)
-    return actions
-
-
-def _request_indirect_probes(state, sequence, target):
-    member = state.members.get(target)
-    others = [one for one in state.reachable() if one.name != target]
-    actions = []
-    for _ in range(min(INDIRECT_PROBES, len(others))):
-        helper = others.pop(state.random(len(others)))
-        actions += send(
-            state,
-            PING_REQUEST,
-            sequence,
-            helper.peer,
-            extra=str(member.peer),
-        )
-    return actions
-
-
-def _suspect(state, name, now_ms):
-    member = state.members.get(name)
-    if member is None or member.status is not MemberStatus.ALIVE:
-        return []
-    return learn(state, member.with_status(MemberStatus.SUSPECT), now_ms)
-
-
-def _check_suspects(state, now_ms):
-    actions = []
-    for name in list(state.doubtful):
-        member = state.members[name]
-        age_ms = now_ms - state.changed_ms[name]
-        if member.status is MemberStatus.SUSPECT:
-            if age_ms >= state.times.suspicion_ms:
-                dead = member.with_status(MemberStatus.DEAD)
-                actions += learn(state, dead, now_ms)
-        elif age_ms >= DEAD_KEPT_MS:
-            state.forget(name)
-    return actions
-
-
 def _on_message(state, event):
     message = parse_message(event.message)
     now_ms = event.now_ms
@@ -258,6 +88,7 @@
         or message.extra == JOIN
     )
     received = [parse_member(one) for one in message.updates]
+    corrections = _corrections(state, received)
     actions = _learn_received(state, message, received, now_ms)
     known = state.members.get(message.sender)
     if not _is_current(known, message):
@@ -266,10 +97,11 @@
     match message.kind:
         case membership_messages.PING:
             actions += _send_ack(
-                state, message, destination, known, is_joining
+                state, message, destination, known, is_joining, corrections
             )
         case membership_messages.ACK:
-            actions += _on_ack(state, message, destination)
+            has_refuted = any(isinstance(one, Refuted) for one in actions)
+            actions += _on_ack(state, message, destination, has_refuted)
             actions += _compare_lists(state, message, known, now_ms)
         case membership_messages.PING_REQUEST:
             actions += _relay_ping(state, message, destination)
@@ -308,25 +140,39 @@
     return actions
 
 
-def _send_ack(state, message, destination, known, is_joining):
+def _corrections(state, received):
+    """Return the names of received records that are outdated.
+
+    Those of this member are included if they are wrong: it refutes them.
+    """
+    names = []
+    for record in received:
+        held = state.find(record.name)
+        is_own = record.name == state.own.name
+        if held is None or record == held:
+            continue
+        if is_own or held.newer_than(record):
+            names.append(record.name)
+    return tuple(names[:MAX_CORRECTIONS])
+
+
+def _send_ack(state, message, destination, known, is_joining, corrections):
     extra = '' if _is_current(known, message) else RECORD_WANTED
-    if known is not None and not known.reachable:
-        # Send the member its own record, so that it can refute it.
-        queue_gossip(state, known.name)
     return send(
         state,
         ACK,
         message.sequence,
         destination,
         extra=extra,
+        first=(*doubted_names(known), *corrections),
         is_joining=is_joining,
     )
 
 
-def _on_ack(state, message, destination):
+def _on_ack(state, message, destination, has_refuted):
     actions = []
-    if message.extra == RECORD_WANTED:
-        actions += _introduce(state, destination)
+    if message.extra == RECORD_WANTED or has_refuted:
+        actions += introduce(state, destination)
     relayed = state.relayed.pop(message.sequence, None)
     if relayed is not None:
         requester, original = relayed
@@ -344,7 +190,13 @@
     if len(state.relayed) >= MAX_RELAYED:
         state.relayed.clear()
     state.relayed[sequence] = (requester, message.sequence)
-    return send(state, PING, sequence, destination)
+    # Of a suspect the requester sends the record, to be refuted.
+    doubted = [
+        name
+        for name in state.doubtful
+        if state.members[name].peer == destination
+    ]
+    return send(state, PING, sequence, destination, first=tuple(doubted))
 
 
 def _compare_lists(state, message, known, now_ms):
@@ -404,4 +256,4 @@
 
 def farewell(state: MembershipState, member: Member) -> list:
     """Return a ping to ``member`` that carries this member's record first."""
-    return _introduce(state, member.peer)
+    return introduce(state, member.peer)
--- a/src/liftmount/_internal/decisions/membership_state.py
+++ b/src/liftmount/_internal/decisions/membership_state.py
@@ -94,6 +94,13 @@
     version: int
 
 
+@frozen
+class Stalled:
+    """This process did not run for a while; nobody is blamed for it."""
+
+    stalled_ms: int
+
+
 @define
 class Probe:
     """A ping that was not answered yet; ``attempts`` counts those sent."""
@@ -109,8 +116,9 @@
 
     ``digest`` is that of its configuration, to compare with those of peers.
     ``doubtful`` holds the names of members that are not alive, which each
-    tick checks; ``gossip`` maps names to the number of messages that are
-    still to carry their records.  ``relayed`` maps the sequence of an
+    tick checks; ``confirming`` maps those that this member suspects itself to
+    the time of its next ping.  ``gossip`` maps names to the number of messages
+    that are still to carry their records.  ``relayed`` maps the sequence of an
     indirect ping to its requester and the requester's sequence.
     ``random_seed`` makes the order of probes differ by member.
     """
@@ -123,6 +131,7 @@
     members: dict[str, Member] = Factory(dict)
     changed_ms: dict[str, int] = Factory(dict)
     doubtful: set[str] = Factory(set)
+    confirming: dict[str, int] = Factory(dict)
     gossip: dict[str, int] = Factory(dict)
     probes: dict[int, Probe] = Factory(dict)
     relayed: dict = Factory(dict)
@@ -131,6 +140,7 @@
     sequence: int = 0
     periods: int = 0
     next_period_ms: int = 0
+    ticked_ms: int = 0
     random_seed: int = 1
     credit_bytes: float = 0.0
     credited_ms: int = 0
@@ -174,6 +184,7 @@
         self.doubtful.discard(name)
         del self.members[name]
         del self.changed_ms[name]
+        self.confirming.pop(name, None)
         self.gossip.pop(name, None)
         self.digests.remove(name)
 
@@ -200,6 +211,7 @@
         credit_bytes=times.bytes_per_second,
         credited_ms=now_ms,
     )
+    state.ticked_ms = now_ms
     state.comparison.changed_ms = now_ms
     state.comparison.compared_ms = now_ms
     state.digests.update(own)
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -426,6 +426,8 @@
                     self.counters.count('refused.control_budget_spent')
                 case membership.UnknownSender():
                     self.counters.count('membership.unknown_sender')
+                case membership.Stalled(stalled_ms):
+                    self.counters.count('membership.stalled_ms', stalled_ms)
                 case membership.Refuted():
                     self._log_refuted(action)
                 case membership.ListsDiffer():
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -157,6 +157,8 @@
                     self.counters.refused(Reason.CONTROL_BUDGET_SPENT)
                 case membership.UnknownSender():
                     self.counters.count('membership.unknown_sender')
+                case membership.Stalled(stalled_ms):
+                    self.counters.count('membership.stalled_ms', stalled_ms)
                 case membership.Refuted():
                     self._log_refuted(action)
                 case membership.ListsDiffer():
--- a/src/liftmount/membership.py
+++ b/src/liftmount/membership.py
@@ -9,12 +9,16 @@
 from liftmount._internal.decisions.membership import decide
 from liftmount._internal.decisions.membership import DigestDiffers
 from liftmount._internal.decisions.membership import farewell
+from liftmount._internal.decisions.membership import ListsDiffer
 from liftmount._internal.decisions.membership import make_membership
 from liftmount._internal.decisions.membership import MemberChanged
 from liftmount._internal.decisions.membership import MembershipState
 from liftmount._internal.decisions.membership import MembershipTimes
 from liftmount._internal.decisions.membership import MessageArrived
+from liftmount._internal.decisions.membership import Refuted
 from liftmount._internal.decisions.membership import SendDatagram
+from liftmount._internal.decisions.membership import Stalled
+from liftmount._internal.decisions.membership import UnknownSender
 from liftmount._internal.decisions.ownership import Ownership
 from liftmount._internal.decisions.relay import find_parent
 from liftmount._internal.decisions.relay import relay_order
@@ -29,6 +33,7 @@
     'DigestDiffers',
     'farewell',
     'find_parent',
+    'ListsDiffer',
     'make_membership',
     'Member',
     'MemberChanged',
@@ -37,8 +42,11 @@
     'MemberStatus',
     'MessageArrived',
     'Ownership',
+    'Refuted',
     'relay_order',
     'SendDatagram',
+    'Stalled',
     'SubtreeReports',
     'Tick',
+    'UnknownSender',
 )
--- a/tests/features/decisions/lossy_network.feature
+++ b/tests/features/decisions/lossy_network.feature
@@ -15,6 +15,64 @@
       | 100    | 4    | 20   |
       | 30     | 8    | 20   |
 
+  # Guards against deaths that a living member refutes in vain.
+  Scenario Outline: No living member is held for dead
+    Given <starts> starts of <size> members on a network that loses <loss> % of the datagrams
+    And each member stalls for up to <stall> ms about every 4 s
+    When 20 s pass
+    Then no member holds a living one for dead in any of them
+
+    Examples:
+      | starts | size | loss | stall |
+      | 60     | 8    | 5    | 0     |
+      | 40     | 8    | 20   | 0     |
+      | 20     | 16   | 20   | 0     |
+      | 30     | 8    | 5    | 1000  |
+      | 20     | 16   | 0    | 1000  |
+
+  # Guards against a detector that finds no death because it forgives too much.
+  Scenario Outline: A member that stops is held for dead by all others
+    Given <starts> starts of <size> members on a network that loses <loss> % of the datagrams
+    When 10 s pass
+    And one member of each stops, and 8 s pass
+    Then all others hold it for dead in each of them
+
+    Examples:
+      | starts | size | loss |
+      | 20     | 4    | 0    |
+      | 20     | 8    | 5    |
+      | 10     | 16   | 20   |
+
+  # Guards against a stalled process that blames those who answered it.
+  Scenario Outline: A member that stalled suspects nobody for it
+    Given a member that has just pinged another one
+    When it does not run for <stall> ms and the answer waits in its socket
+    Then it <suspects> the other one
+
+    Examples:
+      | stall | suspects         |
+      | 3000  | does not suspect |
+      | 525   | does not suspect |
+
+  # Guards against a suspect that learns of the suspicion by chance only.
+  Scenario Outline: A doubted member gets its own record and refutes it
+    Given a member that marks another one as <status>
+    When <event>
+    Then the other one has refuted it, and is alive there after <count> datagrams
+
+    Examples:
+      | status  | event                         | count |
+      | suspect | the member pings it           | 2     |
+      | dead    | the member probes dead ones   | 2     |
+      | suspect | it pings the member           | 4     |
+      | dead    | it pings the member           | 4     |
+
+  # Guards against an outdated record that its holder passes on.
+  Scenario: An ACK corrects outdated records
+    Given two members, one of which holds an outdated record of a third one
+    When that one gossips the record to the other
+    Then it holds the current record after 2 datagrams
+
   # Guards against a sender whose record is asked for by nobody.
   Scenario: A member that hears of an unknown one gets its record
     Given a member that lists another one, which does not list it
--- a/tests/features/steps/lossy_network_steps.py
+++ b/tests/features/steps/lossy_network_steps.py
@@ -8,6 +8,8 @@
 from behave import when
 import cbor2
 
+from liftmount._internal.decisions import failure_detector
+from liftmount._internal.decisions import gossip
 from liftmount._internal.decisions import membership
 from liftmount._internal.decisions.member_comparison import MIN_INTERVAL_MS
 from liftmount._internal.decisions.member_digests import PART_DIGEST_BYTES
@@ -18,6 +20,7 @@
 from liftmount._internal.models.members import MemberStatus
 from liftmount._internal.models.membership_messages import COMPARE
 from liftmount._internal.models.membership_messages import MembershipMessage
+from liftmount._internal.models.records import evolve
 from liftmount._internal.models.records import Tick
 from tests.lossy_network import Faults
 from tests.lossy_network import LossyNetwork
@@ -37,6 +40,19 @@
     ]
 
 
+@given('each member stalls for up to {stall:d} ms about every 4 s')
+def members_stall(context, stall):
+    for network in context.networks:
+        network.faults = evolve(network.faults, stall_ms=stall)
+
+
+@when('one member of each stops, and {interval:d} s pass')
+def one_stops(context, interval):
+    for network in context.networks:
+        network.stop(1 + network.seed % network.size)
+    seconds_pass(context, interval)
+
+
 @when('{interval:d} s pass')
 def seconds_pass(context, interval):
     until_ms = context.networks[0].now_ms + interval * 1_000
@@ -59,6 +75,30 @@
     assert not found, found
 
 
+@then('no member holds a living one for dead in any of them')
+def none_held_for_dead(context):
+    found = {
+        network.seed: network.held_for_dead()
+        for network in context.networks
+        if network.held_for_dead()
+    }
+    assert not found, found
+
+
+@then('all others hold it for dead in each of them')
+def stopped_is_dead(context):
+    for network in context.networks:
+        (stopped,) = network.stopped
+        living = set(network.states) - {stopped}
+        name = f'lm-{stopped}'
+        found = network.held_for_dead()
+        holders = {holder for holder, one in found if one == name}
+        assert holders == {f'lm-{one}' for one in living}, (
+            network.seed,
+            holders,
+        )
+
+
 def make_record(number, domain='a'):
     """Return the record of a member."""
     peer = Endpoint(f'10.1.{number >> 8}.{number & 255}', 1)
@@ -95,6 +135,16 @@
                 )
                 self.execute(receiver, membership.decide(receiver, event))
 
+    def tick(self, sender):
+        """Let time go by for a member."""
+        event = Tick(self.now_ms)
+        self.execute(sender, membership.decide(sender, event))
+
+    def excuse_from_comparisons(self):
+        """Let no comparison of lists be due."""
+        for state in self.states.values():
+            state.comparison.compared_ms = self.now_ms
+
     def ping(self):
         """Let the first member ping the second one."""
         actions = membership.farewell(self.one, self.other.own)
@@ -121,15 +171,12 @@
 def one_sided(context):
     one = make_state(1, [make_record(2)])
     context.pair = Pair(one, make_state(2, []))
-    # No comparison is due.
-    one.comparison.compared_ms = context.pair.now_ms
+    context.pair.excuse_from_comparisons()
 
 
 @when('it pings the other one')
 def pings_other(context):
-    pair = context.pair
-    event = Tick(pair.now_ms)
-    pair.execute(pair.one, membership.decide(pair.one, event))
+    context.pair.tick(context.pair.one)
 
 
 @then('the other one lists it after {count:d} datagrams')
@@ -139,6 +186,89 @@
     assert len(pair.datagrams) <= count, len(pair.datagrams)
 
 
+@given('a member that has just pinged another one')
+def has_pinged(context):
+    one = make_state(1, [make_record(2)])
+    context.pair = Pair(one, make_state(2, [make_record(1)]))
+    # Its ping and the answer are still on their way.
+    membership.decide(one, Tick(context.pair.now_ms))
+    assert one.probes
+
+
+@when('it does not run for {stall:d} ms and the answer waits in its socket')
+def does_not_run(context, stall):
+    context.pair.now_ms += stall
+    # The tick runs before the socket is read.
+    context.pair.tick(context.pair.one)
+
+
+@then('it does not suspect the other one')
+def does_not_suspect(context):
+    statuses = [one.status for one in context.pair.one.members.values()]
+    assert statuses == [MemberStatus.ALIVE], statuses
+
+
+@given('a member that marks another one as {status}')
+def marks_other(context, status):
+    one = make_state(1, [make_record(2)])
+    doubted = make_record(2).with_status(MemberStatus[status.upper()])
+    membership.learn(one, doubted, LONG_MS)
+    one.gossip.clear()
+    context.pair = Pair(one, make_state(2, [make_record(1)]))
+    context.pair.excuse_from_comparisons()
+
+
+@when('the member pings it')
+def member_pings(context):
+    pair = context.pair
+    pair.one.next_period_ms = 0
+    pair.tick(pair.one)
+
+
+@when('the member probes dead ones')
+def member_probes_dead(context):
+    context.pair.one.periods = failure_detector.DEAD_PROBE_PERIODS - 1
+    member_pings(context)
+
+
+@when('it pings the member')
+def other_pings(context):
+    context.pair.tick(context.pair.other)
+
+
+@then('the other one has refuted it, and is alive there after {count:d} '
+      'datagrams')  # fmt: skip
+def other_has_refuted(context, count):
+    pair = context.pair
+    held = pair.one.find(pair.other.own.name)
+    assert held == pair.other.own, (held, pair.other.own)
+    assert held.status is MemberStatus.ALIVE
+    assert len(pair.datagrams) <= count, len(pair.datagrams)
+
+
+@given('two members, one of which holds an outdated record of a third one')
+def outdated_record(context):
+    third = make_record(3)
+    context.current = evolve(third, version=4)
+    one = make_state(1, [make_record(2), third])
+    other = make_state(2, [make_record(1), context.current])
+    context.pair = Pair(one, other)
+    context.pair.excuse_from_comparisons()
+
+
+@when('that one gossips the record to the other')
+def gossips_outdated(context):
+    pair = context.pair
+    gossip.queue_gossip(pair.one, 'lm-3')
+    pair.ping()
+
+
+@then('it holds the current record after {count:d} datagrams')
+def holds_current(context, count):
+    assert context.pair.one.find('lm-3') == context.current
+    assert len(context.pair.datagrams) <= count
+
+
 @given('two lists of {members:d} members, of which {one:d} are missing in '
        'one and {other:d} in the other')  # fmt: skip
 def lists_differ(context, members, one, other):
--- a/tests/lossy_network.py
+++ b/tests/lossy_network.py
@@ -24,16 +24,21 @@
 MIN_DELAY_MS = 1
 MAX_DELAY_MS = 60
 MAX_PAUSE_MS = 3_000
+STALL_INTERVAL_MS = 4_000
 SEEDS = 2
 TIMES = membership.MembershipTimes()
 
 
 @frozen
 class Faults:
-    """Share of lost datagrams, and whether one member is paused once."""
+    """Share of lost datagrams, and whether one member is paused at its start.
+
+    Each member stalls for up to ``stall_ms`` about every STALL_INTERVAL_MS.
+    """
 
     loss: float = 0.0
     has_pause: bool = False
+    stall_ms: int = 0
 
 
 @frozen(order=True)
@@ -65,7 +70,7 @@
     starts_ms: dict = Factory(dict)
     paused: dict = Factory(dict)
     cut: set = Factory(set)
-    sent_bytes: dict = Factory(dict)
+    stopped: set = Factory(set)
     _rng: random.Random = None
     _arrivals: list = Factory(list)
     _numbers: object = Factory(itertools.count)
@@ -88,7 +93,12 @@
             for number in range(1, self.size + 1):
                 self._tick(number)
 
+    def stop(self, number):
+        """Stop a member for good."""
+        self.stopped.add(number)
+
     def _tick(self, number):
+        self._maybe_stall(number)
         if self._is_paused(number):
             return
         if number not in self.states:
@@ -98,7 +108,16 @@
         event = Tick(self.now_ms)
         self._send(number, membership.decide(self.states[number], event))
 
+    def _maybe_stall(self, number):
+        if not self.faults.stall_ms or self._is_paused(number):
+            return
+        if self._rng.random() < TICK_MS / STALL_INTERVAL_MS:
+            lasts_ms = self._rng.randrange(self.faults.stall_ms)
+            self.paused[number] = (self.now_ms, self.now_ms + lasts_ms)
+
     def _is_paused(self, number):
+        if number in self.stopped:
+            return True
         from_ms, until_ms = self.paused.get(number, (0, 0))
         return from_ms <= self.now_ms < until_ms
 
