Ignore SIGHUP before anything else is imported

Operators saw: a SIGHUP to a balancer that starts ends it.

Cause: SIGHUP was ignored only after the launcher had bound its socket, opened the archive and imported the signal module, which takes 6 ms of processor time for its enumerations. liftmountd never handled SIGHUP: it ended at any time.

Fix: the launcher's first line takes over both signals through _signal, SIGTERM first; python -m liftmount.platform does it before its imports, liftmountd too, which logs a SIGHUP: its settings are read at the start only.

The mutation of the stall of a member is noticed now: its step no longer delivers the refutation that hid the suspicion.

--- a/src/liftmount/_internal/cli/daemon.py
+++ b/src/liftmount/_internal/cli/daemon.py
@@ -2,7 +2,8 @@
 
 Prints one line of JSON with the bound addresses once it is ready.
 SIGTERM and SIGINT start a graceful shutdown: the balancer accepts no new
-flows, asks clients to move, and finishes the requests in progress.
+flows, asks clients to move, and finishes the requests in progress.  SIGHUP
+changes nothing, as the settings are read at the start only.
 """
 
 import argparse
@@ -75,6 +76,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _log_hangup)
     running = asyncio.create_task(kernel.run())
     ready = asyncio.create_task(_announce_ready(kernel))
     stopped = asyncio.create_task(stopping.wait())
@@ -89,6 +91,10 @@
         raise error
 
 
+def _log_hangup():
+    LOG.warning('SIGHUP changes nothing: settings are read at the start.')
+
+
 async def _announce_ready(kernel):
     peers = kernel.lookup('peers')
     while peers.state is None:
--- a/src/liftmount/platform/__main__.py
+++ b/src/liftmount/platform/__main__.py
@@ -2,24 +2,23 @@
 
 import gc
 import os
-import signal
 import sys
 
 SETTINGS_VARIABLE = 'LIFTMOUNT_CONFIG'
 SETTINGS_PATH = '/etc/liftmount/settings.toml'
 
 
-def start(bound=None) -> int:
+def start(bound=None, stops=None) -> int:
     """Run a balancer; return the exit status.
 
-    ``bound`` is the RawSocket for packets if it is already bound.
+    ``bound`` is the RawSocket for packets if it is already bound, ``stops``
+    the list of recorded signals if they are already taken over: packets are
+    served before the event loop can handle signals.
     """
-    # Packets are served before the event loop can handle signals, whose
-    # default action would end the process.  SIGTERM is recorded for the event
-    # loop; SIGHUP is ignored, as the settings are read after this.
-    stops = []
-    signal.signal(signal.SIGTERM, lambda number, _frame: stops.append(number))
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    if stops is None:
+        from liftmount.platform.launcher import take_over_signals
+
+        stops = take_over_signals()
     # Garbage collection during the imports would free nothing.
     gc.disable()
     from liftmount.platform.start import serve
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -7,11 +7,33 @@
 of Python, are imported from their files.
 """
 
+# The C module beneath ``signal``, which takes long to import.
+import _signal
+
+
+def take_over_signals():
+    """Ignore SIGHUP and record SIGTERM, whose defaults end the process.
+
+    Return the list to which the number of each recorded signal is added.  The
+    settings are read after this, so SIGHUP would change nothing.
+    """
+    stops = []
+    _signal.signal(
+        _signal.SIGTERM, lambda number, _frame: stops.append(number)
+    )
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+    return stops
+
+
+if __name__ == '__main__':
+    # Before the imports, as an operator's SIGHUP may come at any moment.
+    STOP_SIGNALS = take_over_signals()
+
 # The C module beneath ``socket``, as in utils/raw_sockets.py.
-import _socket
-import marshal
-import os
-import sys
+import _socket  # noqa: E402
+import marshal  # noqa: E402
+import os  # noqa: E402
+import sys  # noqa: E402
 
 ARCHIVE = 'balancer.archive'
 # Size of the archive's header, padded; the compiled modules follow it.
@@ -114,14 +136,18 @@
     install_archive(f'{program}/{ARCHIVE}', roots)
 
 
-def launch(target, address):
-    """Run the balancer in ``target``; return its exit status."""
+def launch(target, address, stops):
+    """Run the balancer in ``target``; return its exit status.
+
+    ``stops`` is the list of recorded signals, see ``take_over_signals``.
+    """
     bound = bind_packet_socket(address)
     prepare(target)
     from liftmount.platform.__main__ import start
 
-    return start(bound)
+    return start(bound, stops)
 
 
 if __name__ == '__main__':
-    sys.exit(launch(__file__.rpartition(f'/{PROGRAM}/')[0], sys.argv[1]))
+    TARGET = __file__.rpartition(f'/{PROGRAM}/')[0]
+    sys.exit(launch(TARGET, sys.argv[1], STOP_SIGNALS))
--- a/src/liftmount/platform/programs.py
+++ b/src/liftmount/platform/programs.py
@@ -5,16 +5,14 @@
 keep their objects in the platform's store.
 """
 
+import signal
 import sys
 
-from liftmount._internal.cli import daemon as daemon_program
-from liftmount._internal.cli import main as tool_program
-from liftmount._internal.models.settings import PlatformSettings
-from liftmount.platform.store import PlatformStore
 
+def make_store(settings, local_ip: str):
+    """Return a PlatformStore for the PlatformSettings ``settings``."""
+    from liftmount.platform.store import PlatformStore
 
-def make_store(settings: PlatformSettings, local_ip: str) -> PlatformStore:
-    """Return a client of the store at the addresses in the settings."""
     return PlatformStore(
         settings.addresses, settings.timeout_ms, local_ip=local_ip
     )
@@ -22,11 +20,17 @@
 
 def daemon() -> int:
     """Run liftmountd; return its exit status."""
+    # Before the imports, as an operator's SIGHUP may come at any moment.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from liftmount._internal.cli import daemon as daemon_program
+
     return daemon_program.main(make_store)
 
 
 def tool() -> int:
     """Run the operators' tool; return its exit status."""
+    from liftmount._internal.cli import main as tool_program
+
     return tool_program.main(make_store)
 
 
--- a/tests/features/platform/start.feature
+++ b/tests/features/platform/start.feature
@@ -22,3 +22,15 @@
   Scenario: Nothing outside the adapter depends on it
     Then no module outside liftmount/platform imports it
     And no module outside liftmount/platform names a field of the platform
+
+  # Guards against an operator's SIGHUP that ends a balancer which starts.
+  Scenario Outline: SIGHUP is ignored before anything else is imported
+    When <program> has run until it ignores SIGHUP
+    Then SIGTERM <is recorded> by then
+    And it has imported <modules> modules or fewer by then, none of them from a package that it depends on
+
+    Examples:
+      | program            | is recorded     | modules |
+      | the launcher       | is recorded     | 0       |
+      | liftmount.platform | is recorded     | 6       |
+      | liftmountd         | is not recorded | 6       |
--- a/tests/features/steps/lossy_network_steps.py
+++ b/tests/features/steps/lossy_network_steps.py
@@ -197,9 +197,10 @@
 
 @when('it does not run for {stall:d} ms and the answer waits in its socket')
 def does_not_run(context, stall):
-    context.pair.now_ms += stall
+    pair = context.pair
+    pair.now_ms += stall
     # The tick runs before the socket is read.
-    context.pair.tick(context.pair.one)
+    membership.decide(pair.one, Tick(pair.now_ms))
 
 
 @then('it does not suspect the other one')
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -47,6 +47,62 @@
     return done.stdout.split()
 
 
+# Runs a program until it sets a handler for SIGHUP, then lists the modules
+# that were imported by then, and whether SIGTERM has a handler.
+RUN_UNTIL_HANGUP = """
+import _signal, pkgutil, runpy, signal, sys
+before = set(sys.modules)
+handled = []
+def record(number, handler):
+    handled.append(number)
+    if number == _signal.SIGHUP:
+        print(_signal.SIGTERM in handled)
+        print(*sorted(set(sys.modules) - before))
+        raise SystemExit
+_signal.signal = record
+{run}
+"""
+HANGUP_PROGRAMS = {
+    'the launcher': (
+        "runpy.run_path('src/liftmount/platform/launcher.py', "
+        "run_name='__main__')"
+    ),
+    'liftmount.platform': (
+        "runpy.run_module('liftmount.platform', run_name='__main__')"
+    ),
+    'liftmountd': ('from liftmount.platform.programs import daemon; daemon()'),
+}
+
+
+@when('{program} has run until it ignores SIGHUP')
+def run_until_hangup(context, program):
+    code = RUN_UNTIL_HANGUP.format(run=HANGUP_PROGRAMS[program])
+    completed = subprocess.run(
+        [sys.executable, '-S', '-c', code],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={'PYTHONPATH': 'src'},
+    )
+    recorded, names = completed.stdout.splitlines()
+    context.is_recorded = recorded == 'True'
+    context.modules = names.split()
+
+
+@then('SIGTERM {is_recorded} by then')
+def sigterm_recorded(context, is_recorded):
+    assert context.is_recorded == (is_recorded == 'is recorded')
+
+
+@then('it has imported {most:d} modules or fewer by then, none of them from a '
+      'package that it depends on')  # fmt: skip
+def modules_by_then(context, most):
+    assert len(context.modules) <= most, context.modules
+    own = {'liftmount', *sys.stdlib_module_names}
+    others = {one.partition('.')[0] for one in context.modules} - own
+    assert not others, others
+
+
 @when('the modules imported before the first packet are listed')
 def list_first(context):
     context.modules = imported(FIRST_PACKET)
