--- a/src/liftmount/_internal/models/reasons.py
+++ b/src/liftmount/_internal/models/reasons.py
@@ -43,6 +43,7 @@
     RETRY_SHED = 'retry_shed'
     RETRY_NOT_WRITTEN = 'retry_not_written'
     RETRY_CONNECTION_LOST = 'retry_connection_lost'
+    RETRY_PUSH_LOST = 'retry_push_lost'
     RETRY_BUDGET_SPENT = 'retry_budget_spent'
     # Control plane.
     INVALID_OBJECT = 'invalid_object'
