Handle pings before the packets that wait in a balancer's socket

Callers saw, in the demo beside a load of 16 to 19: 1,522 of 1,998 streams silent for 5 s, 677 requests past their deadline, 39 times work at a target after it was leaving.

Cause: membership messages and forwarded packets share a socket, of which the event loop read one datagram a turn. Under load the answers of the failure detector waited behind thousands of packets, so balancers that lived were held for dead, their flows moved, and the others got more packets.

Evidence (trial with the length of the socket's queue in the log): queues of 1 to 5.2 MB at five of eight balancers, 106 lines 'is dead' of which at most 7 are true, and no balancer that stalled for 200 ms, no full mailbox and no lost datagram: not starvation of the balancer, not a full buffer.

Fix: a turn reads all datagrams of the socket, handles membership messages at once and up to 64 packets; a packet that waited for a second is dropped and counted (waited_too_long), as its sender has sent it again. Stalls are logged with their length.

The users' platform does not use this socket: its balancers pass packets to targets and never to each other.

--- a/src/liftmount/_internal/models/envelopes.py
+++ b/src/liftmount/_internal/models/envelopes.py
@@ -9,6 +9,8 @@
 _PEER_FIELDS = 8
 PEER_PACKET = 1
 PEER_MEMBERSHIP = 2
+# CBOR of a list of two items, of which the first is PEER_MEMBERSHIP.
+_MEMBERSHIP_HEAD = bytes((0x82, PEER_MEMBERSHIP))
 
 
 @frozen
@@ -77,6 +79,11 @@
     return cbor2.dumps([PEER_MEMBERSHIP, message])
 
 
+def is_membership(datagram: bytes) -> bool:
+    """Return whether a datagram from a peer is a membership message."""
+    return datagram[: len(_MEMBERSHIP_HEAD)] == _MEMBERSHIP_HEAD
+
+
 def decode_peer(datagram: bytes):
     """Decode a datagram from a peer.
 
--- a/src/liftmount/_internal/models/reasons.py
+++ b/src/liftmount/_internal/models/reasons.py
@@ -20,6 +20,7 @@
     ADDRESS_CHANGED_HANDS = 'address_changed_hands'
     NO_KEY = 'no_key'
     TOO_MANY_HOPS = 'too_many_hops'
+    WAITED_TOO_LONG = 'waited_too_long'
     UNKNOWN_PEER = 'unknown_peer'
     WRONG_MODE = 'wrong_mode'
     # Refused requests and flows.
--- a/src/liftmount/_internal/services/group.py
+++ b/src/liftmount/_internal/services/group.py
@@ -428,6 +428,7 @@
                     self.counters.count('membership.unknown_sender')
                 case membership.Stalled(stalled_ms):
                     self.counters.count('membership.stalled_ms', stalled_ms)
+                    self.log.write(self.name, 'stalled', stalled_ms=stalled_ms)
                 case membership.Refuted():
                     self._log_refuted(action)
                 case membership.ListsDiffer():
--- a/src/liftmount/_internal/services/peers.py
+++ b/src/liftmount/_internal/services/peers.py
@@ -8,6 +8,7 @@
 from liftmount._internal.models.addresses import Endpoint
 from liftmount._internal.models.envelopes import decode_peer
 from liftmount._internal.models.envelopes import encode_peer
+from liftmount._internal.models.envelopes import is_membership
 from liftmount._internal.models.envelopes import PeerEnvelope
 from liftmount._internal.models.members import Member
 from liftmount._internal.models.members import MemberStatus
@@ -21,7 +22,7 @@
 from liftmount._internal.models.messages import ShutdownStarted
 from liftmount._internal.models.reasons import Reason
 from liftmount._internal.models.records import Tick
-from liftmount._internal.network.udp import UdpSocket
+from liftmount._internal.network.priority_udp import PriorityUdpSocket
 
 LOG = logging.getLogger('liftmount.peers')
 TICK_MS = 25
@@ -48,7 +49,13 @@
     async def start(self):
         """Bind the socket; the control service must have started before."""
         listen = self.settings.listen.peer
-        self.socket = await UdpSocket.bind(listen, self._on_datagram)
+        self.socket = PriorityUdpSocket.bind(
+            listen,
+            self.clock,
+            self._on_datagram,
+            is_membership,
+            self._on_expired,
+        )
         control = self.kernel.lookup('control').address
         advertise = self.settings.advertise
         own = Member(
@@ -128,6 +135,9 @@
         data = encode_peer(message.envelope)
         self.socket.send(data, member.peer.socket_address())
 
+    def _on_expired(self, count):
+        self.counters.count(f'refused.{Reason.WAITED_TOO_LONG.value}', count)
+
     def _on_datagram(self, data, source):
         try:
             message = decode_peer(data)
@@ -159,6 +169,7 @@
                     self.counters.count('membership.unknown_sender')
                 case membership.Stalled(stalled_ms):
                     self.counters.count('membership.stalled_ms', stalled_ms)
+                    LOG.info('Did not run for %d ms.', stalled_ms)
                 case membership.Refuted():
                     self._log_refuted(action)
                 case membership.ListsDiffer():
