--- a/src/liftmount/_internal/decisions/flows.py
+++ b/src/liftmount/_internal/decisions/flows.py
@@ -11,19 +11,13 @@
 MAX_IDLE_CHECKS = 2_000
 
 
-# Keepalives sent earlier may have crossed a push on the way.
-FIRST_RESEND_WAIT_MS = 60
-
-
 @define
 class Flow:
     """One flow at its home.
 
     ``name`` is the name of a stream, ``acknowledged_sequence`` the last
     sequence number that its caller confirmed, and ``pushed_sequence`` the
-    highest one sent to the caller.  Pushes wait to be acknowledged since
-    ``unacknowledged_ms``, and count as lost after ``resend_wait_ms``;
-    ``has_resent`` tells whether they were sent again.
+    highest one sent to the caller.
     """
 
     nonce: int
@@ -37,9 +31,7 @@
     name: bytes = b''
     acknowledged_sequence: int = 0
     pushed_sequence: int = 0
-    unacknowledged_ms: int = 0
-    resend_wait_ms: int = FIRST_RESEND_WAIT_MS
-    has_resent: bool = False
+    last_pushed_ms: int = 0
 
 
 @define
--- a/src/liftmount/_internal/decisions/streams.py
+++ b/src/liftmount/_internal/decisions/streams.py
@@ -6,7 +6,6 @@
 until then.
 """
 
-from liftmount._internal.decisions.flows import FIRST_RESEND_WAIT_MS
 from liftmount._internal.decisions.home import grant_flow
 from liftmount._internal.decisions.home import HomeState
 from liftmount._internal.decisions.home import new_flow
@@ -26,12 +25,9 @@
 from liftmount._internal.models.events import StreamLost
 from liftmount._internal.models.reasons import Reason
 
-# Wait after the first resend; it doubles with each further one.  A caller or
-# a network that lags would else get all pushes again at each keepalive.
-SECOND_RESEND_WAIT_MS = 1_000
-# The keepalive that would have acknowledged a lost push may come earlier.
-KEEPALIVE_JITTER_MS = 100
-MAX_RESEND_WAIT_MS = 4_000
+# A push not acknowledged by a keepalive this long after it was sent counts
+# as lost; earlier keepalives may have crossed it on the way.
+RESEND_AFTER_MS = 60
 
 
 def decide(state: HomeState, event) -> list:
@@ -94,9 +90,8 @@
         return [DetachStream(event.target, event.nonce)]
     if flow.target != event.target:
         return []
-    if flow.pushed_sequence <= flow.acknowledged_sequence:
-        flow.unacknowledged_ms = event.now_ms
     flow.pushed_sequence = max(flow.pushed_sequence, event.sequence)
+    flow.last_pushed_ms = event.now_ms
     push = SendPush(
         caller=flow.caller,
         address=flow.service.address,
@@ -111,43 +106,18 @@
     flow = refresh_flow(state, event)
     if flow is None:
         return [CountRefusal(Reason.FLOW_UNKNOWN)]
+    flow.acknowledged_sequence = max(
+        flow.acknowledged_sequence, event.sequence
+    )
     reason = _reason_to_move(state, flow)
     actions = []
     if reason is not None:
         actions.append(_ask_to_rebind(flow, reason))
-    return [*actions, *_acknowledge(flow, event)]
-
-
-def _acknowledge(flow, event):
-    """Return the actions that send lost pushes again."""
-    if event.sequence > flow.acknowledged_sequence:
-        _record_progress(flow, event)
-    if flow.acknowledged_sequence >= flow.pushed_sequence:
-        return []
-    if event.now_ms - flow.unacknowledged_ms < flow.resend_wait_ms:
-        return []
-    flow.unacknowledged_ms = event.now_ms
-    flow.has_resent = True
-    flow.resend_wait_ms = min(
-        MAX_RESEND_WAIT_MS,
-        max(SECOND_RESEND_WAIT_MS, 2 * flow.resend_wait_ms),
-    )
-    return [CountRetry(Reason.RETRY_PUSH_LOST), _attach(flow)]
-
-
-def _record_progress(flow, event):
-    """Record an acknowledgement, and how long it took without a resend.
-
-    After a resend nobody knows which of the pushes was acknowledged, so the
-    longer wait stays (Karn and Partridge, SIGCOMM 1987).
-    """
-    if not flow.has_resent:
-        waited_ms = event.now_ms - flow.unacknowledged_ms
-        usual_ms = min(MAX_RESEND_WAIT_MS, waited_ms - KEEPALIVE_JITTER_MS)
-        flow.resend_wait_ms = max(FIRST_RESEND_WAIT_MS, usual_ms)
-    flow.has_resent = False
-    flow.unacknowledged_ms = event.now_ms
-    flow.acknowledged_sequence = event.sequence
+    lacks_push = flow.acknowledged_sequence < flow.pushed_sequence
+    if lacks_push and event.now_ms - flow.last_pushed_ms >= RESEND_AFTER_MS:
+        flow.last_pushed_ms = event.now_ms
+        actions += [CountRetry(Reason.RETRY_PUSH_LOST), _attach(flow)]
+    return actions
 
 
 def _reason_to_move(state, flow):
--- a/src/liftmount/platform/daemon.py
+++ b/src/liftmount/platform/daemon.py
@@ -7,7 +7,6 @@
 from liftmount._internal.services.entry import Adapter
 from liftmount._internal.services.entry import EntryBalancer
 from liftmount._internal.services.startup import StartupContext
-from liftmount._internal.utils.process_end import log_end
 from liftmount.platform.settings import load_settings
 from liftmount.platform.store_feed import make_feeds
 
@@ -35,5 +34,8 @@
     ``startup`` is the context that already serves packets.
     """
     asyncio.run(EntryBalancer(make_adapter(path), startup).run())
+    # Imported late, to keep the startup short.
+    from liftmount._internal.utils.process_end import log_end
+
     log_end(startup.log, startup.clock)
     return 0
