--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -272,6 +272,7 @@
         while True:
             now_ms = self.clock.now_ms()
             self.lag_ms = max(self.lag_ms, now_ms - due_ms)
+            self.checker.record_lag(now_ms, now_ms - due_ms)
             for host in self.client_hosts:
                 host.tick(now_ms)
             for target_host in self.target_hosts:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter
+from collections import deque
 
 from attrs import define
 from attrs import Factory
@@ -25,6 +26,8 @@
 MIN_REQUESTS = 20
 # Far above the normal latency: packets were lost and resent.
 SLOW_MS = 600
+# Lags of some seconds, as long as the longest request.
+KEPT_LAGS = 1_000
 
 
 @frozen
@@ -55,6 +58,24 @@
         return now_ms - self.until_ms.get(name, -SETTLED_MS) >= SETTLED_MS
 
 
+@frozen
+class Lag:
+    """How late the soak's own event loop was at a time."""
+
+    at_ms: int
+    lag_ms: int
+
+
+@frozen
+class SlowRequest:
+    """A slow request, and the soak's own lag while it was under way."""
+
+    kind: str
+    started_ms: int
+    took_ms: int
+    own_lag_ms: int
+
+
 class PromiseChecker:
     """Checks the events that clients and targets report.
 
@@ -69,6 +90,8 @@
         self.breaches = []
         self.counts = Counter()
         self.finished_requests = []
+        self.slow_requests = []
+        self.lags = deque(maxlen=KEPT_LAGS)
         self.open_flows = {}
         self.balancer_names = {}
         self.route_services = {}
@@ -184,10 +207,29 @@
     def record_request(self, load, started_ms, ended_ms, is_served) -> None:
         """Record the outcome of a request."""
         self.counts['served' if is_served else 'unserved'] += 1
-        self.counts['slow'] += ended_ms - started_ms > SLOW_MS
+        is_slow = ended_ms - started_ms > SLOW_MS
+        self.counts['slow'] += is_slow
+        if is_slow:
+            self._record_slow(load, started_ms, ended_ms)
         self.counts[f'asked {load.kind.value}'] += 1
         self.finished_requests.append((started_ms, is_served))
 
+    def record_lag(self, now_ms: int, lag_ms: int) -> None:
+        """Record that the soak's own event loop was late."""
+        self.lags.append(Lag(now_ms, lag_ms))
+
+    def _record_slow(self, load, started_ms, ended_ms):
+        own_lag_ms = sum(
+            one.lag_ms
+            for one in self.lags
+            if started_ms <= one.at_ms <= ended_ms
+        )
+        self.slow_requests.append(
+            SlowRequest(
+                load.kind.value, started_ms, ended_ms - started_ms, own_lag_ms
+            )
+        )
+
     # End of the run
 
     def check_recovery(self, since_ms: int, until_ms: int) -> float:
--- a/soak/run.py
+++ b/soak/run.py
@@ -30,6 +30,7 @@
     served_after: float
     faults: tuple
     lag_ms: int
+    slow_requests: tuple = ()
 
 
 async def play(
@@ -53,6 +54,7 @@
         share,
         tuple(plan),
         run.lag_ms,
+        tuple(run.checker.slow_requests),
     )
 
 
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -133,7 +133,8 @@
 def share_slow(context, share):
     counts = context.outcome.counts
     requested = counts['served'] + counts.get('unserved', 0)
-    assert counts['slow'] <= share * requested, counts
+    slow = context.outcome.slow_requests
+    assert counts['slow'] <= share * requested, (counts, slow)
 
 
 # Checks.
