Log the processor time of a start until its signals are handled

SIGHUP ends a balancer whose signals are not handled yet. How long that lasts could only be seen from outside, by polling the process's status, and not on the users' instances. The 'start' line now holds the processor time of the process until then (signals_unhandled_ms), which tells the program's own share (hypothesis A: what runs before its first line) from that of the interpreter (hypothesis B), which no line of the program can shorten.

--- a/src/liftmount/_internal/services/startup.py
+++ b/src/liftmount/_internal/services/startup.py
@@ -64,17 +64,26 @@
 
 
 def create_startup_context(
-    settings: EntrySettings, codec, bound: RawSocket | None = None
+    settings: EntrySettings,
+    codec,
+    bound: RawSocket | None = None,
+    signals_unhandled_ms: float = 0.0,
 ) -> StartupContext:
     """Bind the packet and readiness sockets and return the initial state.
 
     ``codec`` reads and writes packets, see PacketPath.  ``bound`` is the
-    packet socket if it was bound earlier.  Raises OSError if the address
-    for packets can't be bound.
+    packet socket if it was bound earlier, ``signals_unhandled_ms`` the
+    processor time of the process until it handled signals.  Raises OSError
+    if the address for packets can't be bound.
     """
     clock = Clock()
     log = StructuredLog(clock)
-    log.write('process', 'start', instance=settings.name)
+    log.write(
+        'process',
+        'start',
+        instance=settings.name,
+        signals_unhandled_ms=signals_unhandled_ms,
+    )
     metrics = Metrics()
     bound = bind_packet_socket(settings.packets, bound)
     path = PacketPath(clock, codec, settings, log, metrics, bound)
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -10,24 +10,42 @@
 # The C module beneath ``signal``, which takes long to import.
 import _signal
 
+MS_PER_SECOND = 1_000
 
-def take_over_signals():
-    """Ignore SIGHUP and record SIGTERM, whose defaults end the process.
 
-    Return the list to which the number of each recorded signal is added.  The
-    settings are read after this, so SIGHUP would change nothing.
+class EarlySignals:
+    """The signals that a balancer handles before its event loop runs.
+
+    SIGHUP is ignored: the settings are read after this, so it would change
+    nothing.  ``stops`` holds the numbers of the signals to stop that were
+    received.  ``processor_ms`` is the processor time of the process until
+    its signals were handled; until then SIGHUP ends it.
     """
-    stops = []
-    _signal.signal(
-        _signal.SIGTERM, lambda number, _frame: stops.append(number)
-    )
-    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
-    return stops
+
+    def __init__(self):
+        self.stops = []
+        # SIGHUP last: once it is ignored, the others are recorded.
+        _signal.signal(_signal.SIGTERM, self._record_stop)
+        _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+        self.processor_ms = _read_processor_ms()
+
+    def _record_stop(self, number, _frame):
+        self.stops.append(number)
+
+
+def _read_processor_ms():
+    """Return the processor time of the process."""
+    # Imported here, as signals come before any import.
+    from resource import getrusage
+    from resource import RUSAGE_SELF
+
+    used = getrusage(RUSAGE_SELF)
+    return round((used.ru_utime + used.ru_stime) * MS_PER_SECOND, 1)
 
 
 if __name__ == '__main__':
     # Before the imports, as an operator's SIGHUP may come at any moment.
-    STOP_SIGNALS = take_over_signals()
+    SIGNALS = EarlySignals()
 
 # The C module beneath ``socket``, as in utils/raw_sockets.py.
 import _socket  # noqa: E402
@@ -136,18 +154,18 @@
     install_archive(f'{program}/{ARCHIVE}', roots)
 
 
-def launch(target, address, stops):
+def launch(target, address, signals):
     """Run the balancer in ``target``; return its exit status.
 
-    ``stops`` is the list of recorded signals, see ``take_over_signals``.
+    ``address`` is the one for packets, ``signals`` are its EarlySignals.
     """
     bound = bind_packet_socket(address)
     prepare(target)
     from liftmount.platform.__main__ import start
 
-    return start(bound, stops)
+    return start(signals, bound)
 
 
 if __name__ == '__main__':
     TARGET = __file__.rpartition(f'/{PROGRAM}/')[0]
-    sys.exit(launch(TARGET, sys.argv[1], STOP_SIGNALS))
+    sys.exit(launch(TARGET, sys.argv[1], SIGNALS))
--- a/src/liftmount/platform/start.py
+++ b/src/liftmount/platform/start.py
@@ -19,11 +19,11 @@
 STATUS_USAGE = 2
 
 
-def serve(path: str, bound=None, stops=()) -> int:
+def serve(path: str, bound, signals) -> int:
     """Run a balancer with the settings at ``path``; return its exit status.
 
-    ``bound`` is the RawSocket for packets if it is already bound.  An entry
-    is added to ``stops`` when the process receives a signal to stop.
+    ``bound`` is the RawSocket for packets if it is already bound, else None;
+    ``signals`` are the launcher's EarlySignals.
     """
     try:
         settings = load_settings(path)
@@ -31,8 +31,10 @@
         for problem in error.problems:
             print(f'liftmount: {problem}', file=sys.stderr)
         return STATUS_USAGE
-    startup = create_startup_context(settings, packet_headers, bound)
-    startup.stop_signals = stops
+    startup = create_startup_context(
+        settings, packet_headers, bound, signals.processor_ms
+    )
+    startup.stop_signals = signals.stops
     lists = {
         feed: InitialList(
             settings.store, startup.clock, kind, read, startup.record_problems
