Treat signals to stop during a start as a planned stop

Operators saw: SIGINT to a balancer on the platform that starts ended it with -2, SIGTERM or SIGINT to a liftmountd that starts with -15 and -2, where a planned stop with status 0 is due. The platform's balancer forwards packets by then: between the imports, before its event loop runs.

Cause: only SIGTERM was recorded, by the launcher alone; liftmountd ignored SIGHUP and left the rest to the defaults until its event loop ran.

Evidence: forced orders (settings in a named pipe, SIGSTOP at a stage): SIGINT at 'SIGHUP is handled', settings, sockets and store, both signals before liftmountd has read its settings.

Fix: EarlySignals records SIGTERM and SIGINT, and liftmountd uses it too. A liftmountd that was stopped before its event loop ran starts no service; one that is stopped before its members are known leaves without a farewell, which raised AttributeError.

The row of liftmountd in 'SIGHUP is ignored before anything else is imported' stated that SIGTERM is not recorded: that was this fault. It is recorded now.

--- a/src/liftmount/_internal/cli/daemon.py
+++ b/src/liftmount/_internal/cli/daemon.py
@@ -69,8 +69,11 @@
     return kernel
 
 
-async def run_daemon(settings: Settings, make_store) -> None:
-    """Run a balancer until its graceful shutdown is complete."""
+async def run_daemon(settings: Settings, make_store, stops) -> None:
+    """Run a balancer until its graceful shutdown is complete.
+
+    ``stops`` is not empty if a signal to stop came before the event loop ran.
+    """
     kernel = build_kernel(settings, Clock(), make_store)
     stopping = asyncio.Event()
     handlers = {
@@ -79,6 +82,9 @@
         signal.SIGHUP: _log_hangup,
     }
     with SignalHandlers(handlers):
+        if stops:
+            LOG.info('Stopped before any service had started.')
+            return
         await _serve(kernel, settings, stopping)
 
 
@@ -130,14 +136,16 @@
             break
     else:
         LOG.warning('The graceful shutdown timed out.')
-    peers.say_farewell()
+    if peers.state is not None:
+        peers.say_farewell()
     await asyncio.sleep(seconds(FAREWELL_DELAY_MS))
 
 
-def main(make_store, arguments=None) -> int:
+def main(make_store, stops=(), arguments=None) -> int:
     """Run the daemon and return its exit status.
 
-    ``make_store(settings, local_ip)`` returns a StoreClient.
+    ``make_store(settings, local_ip)`` returns a StoreClient.  ``stops`` gets
+    the signals to stop that come before the event loop runs.
     """
     parser = argparse.ArgumentParser(
         prog='liftmountd', description='Run one liftmount balancer.'
@@ -158,7 +166,7 @@
         return STATUS_USAGE
     set_up_logging(settings.log.level)
     try:
-        asyncio.run(run_daemon(settings, make_store))
+        asyncio.run(run_daemon(settings, make_store, stops))
     except OSError as error:
         LOG.error('Cannot run: %s.', error)
         return 1
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -26,6 +26,7 @@
         self.stops = []
         # SIGHUP last: once it is ignored, the others are recorded.
         _signal.signal(_signal.SIGTERM, self._record_stop)
+        _signal.signal(_signal.SIGINT, self._record_stop)
         _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
         self.processor_ms = _read_processor_ms()
 
--- a/src/liftmount/platform/programs.py
+++ b/src/liftmount/platform/programs.py
@@ -5,9 +5,10 @@
 keep their objects in the platform's store.
 """
 
-import signal
 import sys
 
+from liftmount.platform.launcher import EarlySignals
+
 
 def make_store(settings, local_ip: str):
     """Return a PlatformStore for the PlatformSettings ``settings``."""
@@ -20,11 +21,11 @@
 
 def daemon() -> int:
     """Run liftmountd; return its exit status."""
-    # Before the imports, as an operator's SIGHUP may come at any moment.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Before the imports, as signals may come at any moment.
+    signals = EarlySignals()
     from liftmount._internal.cli import daemon as daemon_program
 
-    return daemon_program.main(make_store)
+    return daemon_program.main(make_store, signals.stops)
 
 
 def tool() -> int:
--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -7,6 +7,26 @@
     Given a store with 1 targets of guide in domain a
     And configuration version 5 routes 127.0.1.1:8443 to guide
 
+  # Guards against signals to stop that end a balancer which starts, where a
+  # planned stop is due.
+  Scenario Outline: A signal to stop at a stage of a start stops as planned
+    Given a <form> balancer that is stopped once <stage>
+    When it gets <signals> and goes on
+    Then it stops as planned with status 0
+
+    Examples:
+      | form     | stage                   | signals                        |
+      | module   | SIGHUP is handled       | SIGTERM                        |
+      | module   | SIGHUP is handled       | SIGINT                         |
+      | module   | it reads its settings   | SIGINT                         |
+      | module   | its sockets are bound   | SIGHUP and SIGTERM             |
+      | module   | its sockets are bound   | SIGINT                         |
+      | module   | it has asked the store  | SIGINT                         |
+      | module   | its event loop runs     | SIGHUP and SIGINT and SIGTERM  |
+      | module   | it has joined the group | SIGINT                         |
+      | deployed | SIGHUP is handled       | SIGTERM                        |
+      | deployed | it reads its settings   | SIGINT                         |
+
   # Guards against signals that end a balancer during or after its planned
   # stop, with another status than 0.
   Scenario Outline: Signals in series during a stop leave the status at 0
@@ -33,6 +53,24 @@
       | SIGINT  |
       | SIGTERM |
 
+  # Guards against signals that end a liftmountd which starts.
+  Scenario: SIGHUP before liftmountd has read its settings
+    Given a liftmountd that is stopped before it reads its settings
+    When it gets SIGHUP and reads its settings
+    Then it prints its addresses
+
+  # Guards against signals to stop that end a liftmountd which starts, where a
+  # planned stop is due.
+  Scenario Outline: A signal to stop before liftmountd has read its settings
+    Given a liftmountd that is stopped before it reads its settings
+    When it gets <signals> and reads its settings
+    Then it ends with status 0
+
+    Examples:
+      | signals |
+      | SIGTERM |
+      | SIGINT  |
+
   # Guards against a stop that is lost as signals come faster than they are
   # handled: what wakes the event loop holds a few hundred signals.
   Scenario: A signal to stop after many others is handled
--- a/tests/features/platform/start.feature
+++ b/tests/features/platform/start.feature
@@ -33,4 +33,4 @@
       | program            | is recorded     | modules |
       | the launcher       | is recorded     | 0       |
       | liftmount.platform | is recorded     | 6       |
-      | liftmountd         | is not recorded | 6       |
+      | liftmountd         | is recorded     | 6       |
