Reload settings that changed while a balancer started

Operators saw: settings that were written between a balancer's reading of them and its event loop were never in force on it, with or without SIGHUP, until the next change or start.

Cause: SIGHUP is ignored until the event loop runs, on the reading that it would change nothing, which holds only until the settings are read; and the check of the file took its first stamp after the loop had begun, so that it compared the new file with itself. The stamp was the file's time alone, which a copy may keep.

Fix: the stamp is taken before the settings are read, at the start and at each reload, holds time, inode and size, and is compared once signals are handled. A reload after a signal is not repeated by the check 2 s later.

--- a/src/liftmount/_internal/services/entry.py
+++ b/src/liftmount/_internal/services/entry.py
@@ -43,7 +43,8 @@
     ``make_feeds(settings, record_problems, metrics)`` returns the feeds by
     name; ``record_problems`` receives the problems of a stored object.
     ``load()`` returns the current settings or raises ConfigurationError.
-    ``stamp()`` returns a value that changes with the settings file.
+    ``stamp()`` returns a value that changes with the settings file; it is
+    called before ``load()``, so that a change between the two shows later.
     ``ready_path`` is the HTTP path of the fabric's readiness check.
     """
 
@@ -67,6 +68,7 @@
         self.path = startup.path
         self.log = startup.log
         self.metrics = startup.metrics
+        self.settings_stamp = startup.settings_stamp
         self.kernel = Kernel(startup.clock)
         self.group = None
 
@@ -87,6 +89,8 @@
         """Serve until the event ``stopping`` is set, then shut down."""
         self._register_services()
         self.log.write('process', 'event_loop')
+        # SIGHUP was ignored until now.
+        self._reload_if_changed('changed during the start')
         running = asyncio.create_task(self.kernel.run())
         tasks = [
             running,
@@ -214,6 +218,7 @@
     def _reload(self, cause):
         """Apply changed settings; keep the old ones if they are invalid."""
         before = self.settings
+        self.settings_stamp = self.adapter.stamp()
         try:
             self.settings = self.adapter.load()
         except ConfigurationError as error:
@@ -237,13 +242,13 @@
         self.log.write('process', 'reload', cause=cause, needs_restart=restart)
 
     async def _watch_settings(self):
-        stamp = self.adapter.stamp()
         while True:
             await asyncio.sleep(seconds(SETTINGS_CHECK_MS))
-            found = self.adapter.stamp()
-            if found != stamp:
-                stamp = found
-                self._reload('file changed')
+            self._reload_if_changed('file changed')
+
+    def _reload_if_changed(self, cause):
+        if self.adapter.stamp() != self.settings_stamp:
+            self._reload(cause)
 
     async def _flush_forever(self):
         while True:
--- a/src/liftmount/_internal/services/startup.py
+++ b/src/liftmount/_internal/services/startup.py
@@ -36,8 +36,9 @@
     its address could not be bound.  ``listings`` holds the lists that were
     received, by feed and without their items; ``pending_lists`` holds those
     still in transfer.  ``stop_signals`` is not empty if the process received
-    a signal to stop.  ``rejected_objects`` is a RejectedObjects once an
-    object of the store was rejected.
+    a signal to stop.  ``settings_stamp`` is the stamp of the settings file
+    from before it was read, see ``Adapter.stamp``.  ``rejected_objects`` is a
+    RejectedObjects once an object of the store was rejected.
     """
 
     settings: EntrySettings
@@ -49,6 +50,7 @@
     listings: dict[str, Listing] = Factory(dict)
     pending_lists: dict = Factory(dict)
     stop_signals: list = Factory(list)
+    settings_stamp: object = None
     rejected_objects: object = None
 
     def record_problems(self, key: str, revision: int, problems) -> None:
--- a/src/liftmount/platform/daemon.py
+++ b/src/liftmount/platform/daemon.py
@@ -1,13 +1,13 @@
 """A balancer on the platform, with its settings and the adapter."""
 
 import asyncio
-import os
 
 from liftmount._internal.models.entry_settings import EntrySettings
 from liftmount._internal.services.entry import Adapter
 from liftmount._internal.services.entry import EntryBalancer
 from liftmount._internal.services.startup import StartupContext
 from liftmount.platform.settings import load_settings
+from liftmount.platform.settings import read_stamp
 from liftmount.platform.store_feed import make_feeds
 
 READY_PATH = '/ready'
@@ -20,10 +20,7 @@
         return load_settings(path)
 
     def stamp() -> object:
-        try:
-            return os.stat(path).st_mtime_ns
-        except OSError as error:
-            return error.errno
+        return read_stamp(path)
 
     return Adapter(make_feeds, load, stamp, READY_PATH)
 
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -16,9 +16,9 @@
 class EarlySignals:
     """The signals that a balancer handles before its event loop runs.
 
-    SIGHUP is ignored: the settings are read after this, so it would change
-    nothing.  ``stops`` holds the numbers of the signals to stop that were
-    received.  ``processor_ms`` is the processor time of the
+    SIGHUP is ignored: the settings are compared with those that were read
+    once the event loop runs.  ``stops`` holds the numbers of the signals to
+    stop that were received.  ``processor_ms`` is the processor time of the
     process until its signals were handled, and until then SIGHUP ended it.
     """
 
--- a/src/liftmount/platform/settings.py
+++ b/src/liftmount/platform/settings.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import os
 
 from liftmount._internal.exceptions import ConfigurationError
 from liftmount._internal.exceptions import StoredObjectError
@@ -42,6 +43,16 @@
         ) from error
 
 
+def read_stamp(path: str) -> object:
+    """Return a value that changes with the settings file at ``path``."""
+    try:
+        found = os.stat(path)
+    except OSError as error:
+        return error.errno
+    # A copy may keep the time of another file, but not its inode.
+    return found.st_mtime_ns, found.st_ino, found.st_size
+
+
 def _make_error(path, message, field='(file)', value=''):
     # Imported here as a start with valid settings does not need it.
     from liftmount._internal.models.problems import Problem
--- a/src/liftmount/platform/start.py
+++ b/src/liftmount/platform/start.py
@@ -15,6 +15,7 @@
 from liftmount.platform.feeds import SOURCES
 from liftmount.platform.initial_lists import InitialList
 from liftmount.platform.settings import load_settings
+from liftmount.platform.settings import read_stamp
 
 STATUS_USAGE = 2
 
@@ -25,6 +26,8 @@
     ``bound`` is the RawSocket for packets if it is already bound, else None;
     ``signals`` are the launcher's EarlySignals.
     """
+    # Before they are read, so that a change from then on shows.
+    stamp = read_stamp(path)
     try:
         settings = load_settings(path)
     except ConfigurationError as error:
@@ -35,6 +38,7 @@
         settings, packet_headers, bound, signals.processor_ms
     )
     startup.stop_signals = signals.stops
+    startup.settings_stamp = stamp
     lists = {
         feed: InitialList(
             settings.store, startup.clock, kind, read, startup.record_problems
--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -76,3 +76,21 @@
   Scenario: A signal to stop after many others is handled
     When SIGHUP comes 1000 times and then SIGTERM within a turn of the event loop
     Then SIGHUP is handled once and SIGTERM once
+
+  # Guards against settings that change during a start and are never used.
+  Scenario Outline: Settings that change after they were read are reloaded
+    Given a <form> balancer that has read settings which then change
+    When it gets <signals>
+    Then it logs a reload within <limit> ms of its event loop
+
+    Examples:
+      | form     | signals                          | limit |
+      | module   | SIGHUP before its event loop runs | 1000  |
+      | deployed | SIGHUP before its event loop runs | 1000  |
+      | module   | no signal                        | 3000  |
+
+  # Guards against settings that are copied with the time of the old ones.
+  Scenario: Settings that keep the time of those that were read are reloaded
+    Given a module balancer that has read settings which then change
+    When they keep their time and it gets SIGHUP before its event loop runs
+    Then it logs a reload within 1000 ms of its event loop
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -107,10 +107,13 @@
     """A balancer that reads its settings from a named pipe."""
 
     writer = None
+    made_at_ns = 0
+    keeps_time = False
 
     def prepare(self):
         """Create the named pipe in the place of the settings file."""
         os.mkfifo(self.path)
+        self.made_at_ns = self.path.stat().st_mtime_ns
 
     def is_reading(self):
         """Return whether the process has opened its settings."""
@@ -143,6 +146,9 @@
         A reload reads a file in its place, as a pipe would block it.
         """
         self.write_settings()
+        if self.keeps_time:
+            times_ns = (self.made_at_ns, self.made_at_ns)
+            os.utime(self.path, ns=times_ns)
         os.close(self.writer)
 
     def is_listening(self):
@@ -371,6 +377,12 @@
     balancer.write_settings()
 
 
+@when('they keep their time and it gets {names} before its event loop runs')
+def keep_time(context, names):
+    context.balancer.keeps_time = True
+    gets_before_loop(context, names)
+
+
 @when('it gets {names} before its event loop runs')
 def gets_before_loop(context, names):
     balancer = context.balancer
