Ignore signals on the ways out before the event loop runs

Operators saw: a balancer or liftmountd that ends by itself, for wrong settings, a wrong call or an address in use, ended with -15 or -2 if SIGTERM or SIGINT came meanwhile: the status that tells the error was lost.

Cause: the interpreter's end restores the default action of each signal that has a Python handler (not of those that are ignored), and the handlers that record early signals were in place then.

Fix: EarlySignals is a context that ignores them at its end, which holds for every way out of both programs.

--- a/src/liftmount/platform/__main__.py
+++ b/src/liftmount/platform/__main__.py
@@ -6,4 +6,5 @@
 from liftmount.platform.launcher import start
 
 if __name__ == '__main__':
-    sys.exit(start(EarlySignals()))
+    with EarlySignals() as signals:
+        sys.exit(start(signals))
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -20,6 +20,9 @@
     once the event loop runs.  ``stops`` holds the numbers of the signals to
     stop that were received.  ``processor_ms`` is the processor time of the
     process until its signals were handled, and until then SIGHUP ended it.
+
+    A context: at its end the signals are ignored, as the interpreter's end
+    would restore the default actions of those that have a handler.
     """
 
     def __init__(self):
@@ -30,6 +33,13 @@
         _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
         self.processor_ms = _read_processor_ms()
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_error):
+        for number in (_signal.SIGTERM, _signal.SIGINT, _signal.SIGHUP):
+            _signal.signal(number, _signal.SIG_IGN)
+
     def _record_stop(self, number, _frame):
         self.stops.append(number)
 
@@ -184,4 +194,5 @@
 
 if __name__ == '__main__':
     TARGET = __file__.rpartition(f'/{PROGRAM}/')[0]
-    sys.exit(launch(TARGET, sys.argv[1], SIGNALS))
+    with SIGNALS:
+        sys.exit(launch(TARGET, sys.argv[1], SIGNALS))
--- a/src/liftmount/platform/programs.py
+++ b/src/liftmount/platform/programs.py
@@ -22,10 +22,10 @@
 def daemon() -> int:
     """Run liftmountd; return its exit status."""
     # Before the imports, as signals may come at any moment.
-    signals = EarlySignals()
-    from liftmount._internal.cli import daemon as daemon_program
+    with EarlySignals() as signals:
+        from liftmount._internal.cli import daemon as daemon_program
 
-    return daemon_program.main(make_store, signals.stops)
+        return daemon_program.main(make_store, signals.stops)
 
 
 def tool() -> int:
--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -71,6 +71,32 @@
       | SIGTERM |
       | SIGINT  |
 
+  # Guards against signals that end a process which exits before its event
+  # loop has run, so that the status of its error is lost.
+  Scenario Outline: Signals in series leave the status of wrong settings at 2
+    Given a <form> balancer that reads wrong settings
+    When it gets <signals> until it is gone
+    Then its status is 2
+
+    Examples:
+      | form     | signals |
+      | module   | SIGHUP  |
+      | module   | SIGINT  |
+      | module   | SIGTERM |
+      | deployed | SIGTERM |
+
+  # Guards against the same fault in liftmountd.
+  Scenario Outline: Signals in series leave the status of a wrong call at 2
+    Given a liftmountd that is called without settings
+    When it gets <signals> until it is gone
+    Then its status is 2
+
+    Examples:
+      | signals |
+      | SIGHUP  |
+      | SIGINT  |
+      | SIGTERM |
+
   # Guards against a stop that is lost as signals come faster than they are
   # handled: what wakes the event loop holds a few hundred signals.
   Scenario: A signal to stop after many others is handled
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -304,10 +304,31 @@
     send_in_series(context.process, parse_signals(names))
 
 
-@then('its status is 0')
-def status_is_zero(context):
+@given('a {form} balancer that reads wrong settings')
+def reads_wrong_settings(context, form):
+    balancer = start_form(context, form)
+    await_reading(balancer)
+    os.write(balancer.writer, b'zone = [')
+    os.close(balancer.writer)
+
+
+@given('a liftmountd that is called without settings')
+def liftmountd_without_settings(context):
+    command = [sys.executable, '-m', PROGRAMS, 'daemon']
+    context.process = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+    pid = context.process.pid
+    await_event(lambda: is_handled(pid, signal.SIGHUP), 'SIGHUP is handled')
+
+
+@when('it gets {names} until it is gone')
+def gets_only_series(context, names):
+    send_in_series(context.process, parse_signals(names))
+
+
+@then('its status is {expected:d}')
+def status_is(context, expected):
     status = context.process.poll()
-    assert status == 0, f'status {status}'
+    assert status == expected, f'status {status}'
 
 
 @given('a liftmountd that is stopped before it reads its settings')
