Start a balancer by its path, and test SIGHUP at every moment of a start

Cause: until the program's first line the interpreter's default action holds. The tests and the soak started 'python -m liftmount.platform': runpy, site and the packages' folders come before that line. What remains is the interpreter's own start, which no line of ours can shorten.

Fix: the launcher runs from a source tree too, by its path and with -S, and sets up the installed packages once signals are handled.

The check of 'SIGHUP during startup does not end a balancer' waited for 0.1 s after the mapping. What it does not see any more, the time before, is held by 'Nothing is imported while SIGHUP still ends the process', whatever the machine's load; 'SIGHUP at a stage of a start does not end a balancer' forces the order at six stages.

Before: the row 'the tests and the soak' of 'Nothing is imported ...' fails with python -m as the command (33 modules more than the interpreter's own, runpy and site among them); the row of the deploy file passed.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -4,7 +4,6 @@
 import os
 from pathlib import Path
 import signal
-import sys
 
 import tomli_w
 
@@ -12,6 +11,7 @@
 from liftmount.platform.launcher import DEPENDENCIES
 from liftmount.platform.launcher import PROGRAM
 from soak.promises import GRACE_MS
+from stand_ins.programs import balancer_command
 
 
 class Balancer:
@@ -66,9 +66,8 @@
     def _command(self):
         """Return the command of the bundle or of the source tree."""
         if self._bundle is None:
-            return [sys.executable, '-m', 'liftmount.platform']
-        launcher = self._bundle / PROGRAM / 'liftmount/platform/launcher.py'
-        return [sys.executable, '-S', '-P', launcher, str(self.packets)]
+            return balancer_command(str(self.packets))
+        return balancer_command(str(self.packets), self._bundle / PROGRAM)
 
     def _environment(self):
         environment = dict(os.environ, LIFTMOUNT_CONFIG=str(self.path))
--- a/src/liftmount/platform/__main__.py
+++ b/src/liftmount/platform/__main__.py
@@ -1,4 +1,8 @@
-"""Starts a balancer on the platform: ``python3 -m liftmount.platform``."""
+"""Starts a balancer on the platform: ``python3 -m liftmount.platform``.
+
+SIGHUP ends it until ``runpy`` and ``site`` have run, which ``launcher``
+does without when it is started by its path.
+"""
 
 import sys
 
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -1,10 +1,13 @@
-"""Starts a balancer from the archive of its compiled modules.
+"""Starts a balancer, from the archive of its compiled modules if there is one.
 
-Run as a script with the address for packets, as IP:PORT.  The address is
-bound before the imports, so that packets queue in the socket meanwhile.
-Loading modules from one file saves searching the path for each of them.
-Modules that the archive lacks, or all if it was written by another version
-of Python, are imported from their files.
+Run as a script, ``python3 -S -P .../launcher.py IP:PORT``, with the address
+for packets.  Until its first lines have run SIGHUP ends the process: ``-S``
+and a start by path leave only the interpreter's own start before them.
+
+The address is bound before the imports, so that packets queue in the socket
+meanwhile.  Loading modules from one file saves searching the path for each
+of them.  Modules that the archive lacks, or all if it was written by another
+version of Python, are imported from their files.
 """
 
 # The C module beneath ``signal``, which takes long to import.
@@ -168,6 +171,17 @@
     install_archive(f'{program}/{ARCHIVE}', roots)
 
 
+def prepare_source(program):
+    """Set up imports from ``program``, the folder of a source tree.
+
+    The dependencies are installed packages, which ``-S`` left out.
+    """
+    import site
+
+    sys.path.insert(0, program)
+    site.main()
+
+
 def start(signals, bound=None):
     """Run a balancer whose imports are set up; return its exit status.
 
@@ -182,17 +196,21 @@
     return serve(path, bound, signals)
 
 
-def launch(target, address, signals):
-    """Run the balancer in ``target``; return its exit status.
+def launch(program, address, signals):
+    """Run the balancer in the folder ``program``; return its exit status.
 
     ``address`` is the one for packets, ``signals`` are its EarlySignals.
     """
     bound = bind_packet_socket(address)
-    prepare(target)
+    target, _slash, name = program.rpartition('/')
+    if name == PROGRAM:
+        prepare(target)
+    else:
+        prepare_source(program)
     return start(signals, bound)
 
 
 if __name__ == '__main__':
-    TARGET = __file__.rpartition(f'/{PROGRAM}/')[0]
+    FOLDER = __file__.rpartition('/liftmount/platform/')[0]
     with SIGNALS:
-        sys.exit(launch(TARGET, sys.argv[1], SIGNALS))
+        sys.exit(launch(FOLDER, sys.argv[1], SIGNALS))
--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -7,6 +7,22 @@
     Given a store with 1 targets of guide in domain a
     And configuration version 5 routes 127.0.1.1:8443 to guide
 
+  # Guards against SIGHUP that ends a balancer at a stage of its start.
+  Scenario Outline: SIGHUP at a stage of a start does not end a balancer
+    Given a <form> balancer that is stopped once <stage>
+    When it gets SIGHUP and goes on
+    Then it is ready, and its process runs
+
+    Examples:
+      | form     | stage                   |
+      | source   | SIGHUP is handled       |
+      | source   | it reads its settings   |
+      | source   | its sockets are bound   |
+      | source   | it has asked the store  |
+      | source   | its event loop runs     |
+      | source   | it has joined the group |
+      | deployed | SIGHUP is handled       |
+
   # Guards against signals to stop that end a balancer which starts, where a
   # planned stop is due.
   Scenario Outline: A signal to stop at a stage of a start stops as planned
@@ -16,14 +32,14 @@
 
     Examples:
       | form     | stage                   | signals                        |
-      | module   | SIGHUP is handled       | SIGTERM                        |
-      | module   | SIGHUP is handled       | SIGINT                         |
-      | module   | it reads its settings   | SIGINT                         |
-      | module   | its sockets are bound   | SIGHUP and SIGTERM             |
-      | module   | its sockets are bound   | SIGINT                         |
-      | module   | it has asked the store  | SIGINT                         |
-      | module   | its event loop runs     | SIGHUP and SIGINT and SIGTERM  |
-      | module   | it has joined the group | SIGINT                         |
+      | source   | SIGHUP is handled       | SIGTERM                        |
+      | source   | SIGHUP is handled       | SIGINT                         |
+      | source   | it reads its settings   | SIGINT                         |
+      | source   | its sockets are bound   | SIGHUP and SIGTERM             |
+      | source   | its sockets are bound   | SIGINT                         |
+      | source   | it has asked the store  | SIGINT                         |
+      | source   | its event loop runs     | SIGHUP and SIGINT and SIGTERM  |
+      | source   | it has joined the group | SIGINT                         |
       | deployed | SIGHUP is handled       | SIGTERM                        |
       | deployed | it reads its settings   | SIGINT                         |
 
@@ -36,9 +52,9 @@
 
     Examples:
       | form     | signals |
-      | module   | SIGHUP  |
-      | module   | SIGINT  |
-      | module   | SIGTERM |
+      | source   | SIGHUP  |
+      | source   | SIGINT  |
+      | source   | SIGTERM |
       | deployed | SIGHUP  |
 
   # Guards against the same fault in liftmountd.
@@ -80,9 +96,9 @@
 
     Examples:
       | form     | signals |
-      | module   | SIGHUP  |
-      | module   | SIGINT  |
-      | module   | SIGTERM |
+      | source   | SIGHUP  |
+      | source   | SIGINT  |
+      | source   | SIGTERM |
       | deployed | SIGTERM |
 
   # Guards against the same fault in liftmountd.
@@ -111,12 +127,12 @@
 
     Examples:
       | form     | signals                          | limit |
-      | module   | SIGHUP before its event loop runs | 1000  |
+      | source   | SIGHUP before its event loop runs | 1000  |
       | deployed | SIGHUP before its event loop runs | 1000  |
-      | module   | no signal                        | 3000  |
+      | source   | no signal                        | 3000  |
 
   # Guards against settings that are copied with the time of the old ones.
   Scenario: Settings that keep the time of those that were read are reloaded
-    Given a module balancer that has read settings which then change
+    Given a source balancer that has read settings which then change
     When they keep their time and it gets SIGHUP before its event loop runs
     Then it logs a reload within 1000 ms of its event loop
--- a/tests/features/platform/start.feature
+++ b/tests/features/platform/start.feature
@@ -34,3 +34,14 @@
       | the launcher       | is recorded     | 0       |
       | liftmount.platform | is recorded     | 6       |
       | liftmountd         | is recorded     | 6       |
+
+  # Guards against a start that runs more than the interpreter's own start
+  # while SIGHUP still ends the process.
+  Scenario Outline: Nothing is imported while SIGHUP still ends the process
+    When the command of <place> is run with its imports listed
+    Then it has imported what an interpreter does that runs no program, until it handles signals
+
+    Examples:
+      | place                       |
+      | the deploy file             |
+      | the tests and the soak      |
--- a/tests/features/steps/process_steps.py
+++ b/tests/features/steps/process_steps.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import threading
 import time
 import urllib.error
@@ -20,6 +19,7 @@
 from liftmount.platform import packet_headers
 from liftmount.platform.settings import METRICS_PORT
 from stand_ins.addresses import make_run_addresses
+from stand_ins.programs import balancer_command
 from stand_ins.store import StoreThread
 
 SYN = 2
@@ -32,6 +32,8 @@
 PROBE_S = 0.5
 TIMEOUT_S = 12.0
 STOP_TIMEOUT_S = 6.0
+MIN_HANGUPS = 500
+HANGUP_GAP_S = 0.002
 
 
 class TargetThread:
@@ -105,7 +107,7 @@
 
     def command(self, _context):
         """Return the command that starts the process."""
-        return [sys.executable, '-m', 'liftmount.platform']
+        return balancer_command(self.settings['listen']['packets'])
 
     def environment(self, _context):
         """Return the environment of the process."""
@@ -453,22 +455,22 @@
     assert context.stop_duration_ms <= limit, context.stop_duration_ms
 
 
+def handles_sighup(pid):
+    """Return whether a process ignores SIGHUP or has a handler for it."""
+    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
+    masks = [
+        int(line.split()[1], 16)
+        for line in lines
+        if line.startswith(('SigIgn', 'SigCgt'))
+    ]
+    return any(mask & 1 << (signal.SIGHUP - 1) for mask in masks)
+
+
 @when('a balancer in domain {domain} gets SIGTERM as soon as it has started')
 def sigterm_early(context, domain):
     balancer = start_balancer(context, domain)
-    status = Path(f'/proc/{balancer.process.pid}/status')
-    ignored_hup = 1 << (signal.SIGHUP - 1)
-
-    def has_begun():
-        # A balancer ignores SIGHUP before it does anything else.
-        (line,) = [
-            one
-            for one in status.read_text().splitlines()
-            if one.startswith('SigIgn')
-        ]
-        return int(line.split()[1], 16) & ignored_hup
-
-    assert wait_until(has_begun)
+    # A balancer ignores SIGHUP before it does anything else.
+    assert wait_until(lambda: handles_sighup(balancer.process.pid))
     balancer.process.send_signal(signal.SIGTERM)
     context.stopped = time.monotonic()
 
@@ -501,13 +503,16 @@
 @when('a balancer in domain {domain} gets SIGHUP repeatedly during startup')
 def sighup_early(context, domain):
     balancer = start_balancer(context, domain)
-    # SIGHUP ends the interpreter until the balancer ignores it.
-    path = Path(f'/proc/{balancer.process.pid}/maps')
-    wait_until(lambda: 'python' in path.read_text())
-    time.sleep(0.1)
-    for _ in range(100):
+    # SIGHUP ends the interpreter until the balancer handles it.
+    until = time.monotonic() + TIMEOUT_S
+    while not handles_sighup(balancer.process.pid):
+        assert time.monotonic() < until
+    hangups = 0
+    while hangups < MIN_HANGUPS or balancer.ready()[0] != 200:
+        assert time.monotonic() < until
         balancer.process.send_signal(signal.SIGHUP)
-        time.sleep(0.01)
+        hangups += 1
+        time.sleep(HANGUP_GAP_S)
 
 
 @then('it becomes ready')
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -27,6 +27,7 @@
 from stand_ins.deployment import Deployment
 from stand_ins.deployment import PROGRAMS
 from stand_ins.plans import ALL_PLANS
+from stand_ins.programs import balancer_command
 from tests.features.steps.process_steps import BalancerProcess
 from tests.features.steps.process_steps import start_balancer
 from tests.features.steps.process_steps import wait_until
@@ -162,13 +163,12 @@
 
 
 class DeployedBalancer(PipedBalancer):
-    """A balancer that is started by its path, as the deploy file does."""
+    """A balancer that is started from the build, as the deploy file does."""
 
     def command(self, context):
         """Return the command of the deploy file."""
-        launcher = context.target / PROGRAM / 'liftmount/platform/launcher.py'
         packets = self.settings['listen']['packets']
-        return [sys.executable, '-S', '-P', str(launcher), packets]
+        return balancer_command(packets, context.target / PROGRAM)
 
     def environment(self, context):
         """Return the environment with the dependencies of the build."""
@@ -188,7 +188,7 @@
     context.target = target
 
 
-FORMS = {'module': PipedBalancer, 'deployed': DeployedBalancer}
+FORMS = {'source': PipedBalancer, 'deployed': DeployedBalancer}
 
 
 def start_form(context, form):
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -15,9 +15,13 @@
 from bundling.archive import ENTRIES
 from liftmount._internal.utils.import_hook import ImportHook
 from liftmount.platform.settings import METRICS_PORT
+from stand_ins.programs import balancer_command
 
 SOURCE = Path('src/liftmount')
 ADAPTER = SOURCE / 'platform'
+NO_ADDRESS = 'none'
+# The first module that the launcher imports once it handles signals.
+FIRST_IMPORT = 'resource'
 LIST_MODULES = (
     "import sys; sys.modules['ssl'] = None; import {imported};"
     "print('\\n'.join(name for name, one in sys.modules.items() if one))"
@@ -103,6 +107,40 @@
     assert not others, others
 
 
+def early_imports(arguments):
+    """Return the modules that Python reports to import, in order."""
+    command = [sys.executable, '-X', 'importtime', *arguments]
+    completed = subprocess.run(
+        command,
+        capture_output=True,
+        text=True,
+        env={'LIFTMOUNT_CONFIG': '/nowhere'},
+    )
+    return [
+        line.rpartition('|')[2].strip()
+        for line in completed.stderr.splitlines()
+        if line.startswith('import time:')
+    ]
+
+
+@when('the command of {place} is run with its imports listed')
+def list_early_imports(context, place):
+    command = balancer_command(NO_ADDRESS)
+    if place == 'the deploy file':
+        with open('deploy/system.toml', 'rb') as stream:
+            run = tomllib.load(stream)['roles']['balancer']['run']
+        command = run.replace('target/balancer', 'src').split()
+    context.modules = early_imports(command[1:])
+
+
+@then('it has imported what an interpreter does that runs no program, until '
+      'it handles signals')  # fmt: skip
+def only_imports_of_interpreter(context):
+    own = early_imports(['-S', '-P', '-c', ''])
+    handled = context.modules.index(FIRST_IMPORT)
+    assert context.modules[:handled] == own, context.modules[:handled]
+
+
 @when('the modules imported before the first packet are listed')
 def list_first(context):
     context.modules = imported(FIRST_PACKET)
