Send signals in series at planned stops and the starts after them in the soak

The soak did not see that SIGHUP or a second SIGTERM ends a balancer between the end of its event loop and its exit: a planned stop sent one SIGTERM, further stops while it lasted were dropped, and SIGHUP came from changed settings only. In the plans of seeds 1000 to 20999 9 of 10,644 SIGHUPs come 860 to 1,212 ms after SIGTERM to the same balancer, where the exits of 5 stops in 6 played seeds were; the time to meet is 14 ms long (median of 16, without load of its own).

One or two stops of a seed now get SIGHUP and SIGTERM by turns until the exit, and the next start gets SIGHUP from the moment it is handled. They are drawn from a generator of their own: the other faults of seeds 0 to 499 are unchanged. The checks are as they were.

--- a/soak/fault_injection.py
+++ b/soak/fault_injection.py
@@ -1,6 +1,8 @@
 """Injects faults from outside the balancers."""
 
 import asyncio
+from itertools import cycle
+from itertools import repeat
 import signal
 
 from liftmount._internal.clock import seconds
@@ -17,6 +19,9 @@
 ENTRY_EXPIRY_MS = 2_300
 # Time from the recovery of the store until targets write their entries.
 ENTRY_RETURN_MS = 1_000
+# Time for which a process that starts gets SIGHUP in series.
+START_SIGNALS_MS = 2_000
+HANDLER_POLL_MS = 1
 # Minimum time before another service reuses an address.
 ADDRESS_REUSE_MS = 2_000
 # Above the numbers of the targets of a run.
@@ -59,6 +64,8 @@
     match fault:
         case faults.BalancerKilled():
             await _kill_balancer(run, balancer, fault.down_ms)
+        case faults.BalancerStopSignalled():
+            await _stop_with_signals(run, balancer, fault)
         case faults.BalancerStopped():
             await _stop_balancer(run, balancer, fault)
         case faults.BalancerPaused():
@@ -115,7 +122,7 @@
     # SIGTERM ends an interpreter that has not installed its signal
     # handlers yet.
     allowed = {0, -signal.SIGKILL}
-    if not balancer.handles_sigterm():
+    if not balancer.handles(signal.SIGTERM):
         allowed.add(-signal.SIGTERM)
     balancer.send(signal.SIGTERM)
     began_ms = run.clock.now_ms()
@@ -133,6 +140,21 @@
     await balancer.start()
 
 
+async def _stop_with_signals(run, balancer, fault):
+    if balancer.is_exit_expected or not balancer.handles(signal.SIGTERM):
+        return
+    stop = asyncio.create_task(_stop_balancer(run, balancer, fault))
+    # Lets the task send the first SIGTERM.
+    await asyncio.sleep(0)
+    both = cycle((signal.SIGHUP, signal.SIGTERM))
+    await balancer.send_series(both, fault.gap_ms)
+    await stop
+    while balancer.is_running and not balancer.handles(signal.SIGHUP):
+        await asyncio.sleep(seconds(HANDLER_POLL_MS))
+    count = START_SIGNALS_MS // fault.gap_ms
+    await balancer.send_series(repeat(signal.SIGHUP, count), fault.gap_ms)
+
+
 def _report_late_stop(run, balancer, elapsed_ms):
     # A paused process cannot exit.
     if run.disturbances.until_ms.get(f'pause {balancer.name}', 0) <= (
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,9 @@
 EVACUATION_RANGE_MS = (4_000, 9_000)
 MAX_RESTARTS = 3
 RESTART_RANGE_MS = (300, 2_000)
+MAX_SIGNALLED_STOPS = 2
+# Shorter than the time between the event loop's end and the exit.
+SIGNAL_GAP_RANGE_MS = (3, 12)
 # Number of invalid forms that ``fault_injection`` can write.
 FOREIGN_ENTRY_FORMS = 4
 # Time that a leaving target keeps serving after its drain time.
@@ -62,6 +65,17 @@
     down_ms: int
 
 
+@frozen
+class BalancerStopSignalled(BalancerStopped):
+    """A planned stop and the next start, with signals every ``gap_ms``.
+
+    SIGHUP and SIGTERM come by turns until the exit, and SIGHUP as soon as
+    the new process handles it.
+    """
+
+    gap_ms: int
+
+
 @frozen
 class BalancerPaused(BalancerFault):
     """SIGSTOP, and SIGCONT ``for_ms`` later."""
@@ -293,3 +307,19 @@
         )
         for _ in range(draw.randint(1, MAX_EVACUATIONS))
     ]
+
+
+def draw_signalled_stops(
+    seed: int, length_ms: int, balancers: int
+) -> list[BalancerStopSignalled]:
+    """Return the stops with signals in series, added to the plan."""
+    draw = random.Random(f'signalled stops of {seed}')
+    return [
+        BalancerStopSignalled(
+            draw.randint(FIRST_FAULT_MS, length_ms),
+            draw.randrange(balancers),
+            draw.randint(*RESTART_RANGE_MS),
+            draw.randint(*SIGNAL_GAP_RANGE_MS),
+        )
+        for _ in range(draw.randint(1, MAX_SIGNALLED_STOPS))
+    ]
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,12 +1,14 @@
 """Balancer processes that the soak starts and stops."""
 
 import asyncio
+from collections.abc import Iterable
 import os
 from pathlib import Path
 import signal
 
 import tomli_w
 
+from liftmount._internal.clock import seconds
 from liftmount._internal.models.addresses import Endpoint
 from liftmount.platform.launcher import DEPENDENCIES
 from liftmount.platform.launcher import PROGRAM
@@ -90,14 +92,34 @@
         """Tell whether the process is running."""
         return self.process is not None and self.process.returncode is None
 
-    def handles_sigterm(self) -> bool:
-        """Tell whether the process has installed its SIGTERM handler."""
+    def handles(self, number: signal.Signals) -> bool:
+        """Tell whether the process ignores a signal or has a handler."""
         try:
             text = Path(f'/proc/{self.process.pid}/status').read_text()
         except OSError:
             return False
-        caught = int(text.partition('SigCgt:')[2].split()[0], 16)
-        return bool(caught & 1 << (signal.SIGTERM - 1))
+        handled = 0
+        for field in ('SigIgn:', 'SigCgt:'):
+            handled |= int(text.partition(field)[2].split()[0], 16)
+        return bool(handled & 1 << (number - 1))
+
+    async def send_series(self, numbers: Iterable, gap_ms: int) -> None:
+        """Send signals to the process, until their end or its exit."""
+        if not self.is_running:
+            return
+        try:
+            # Process.send_signal would reap the process before asyncio does.
+            process = os.pidfd_open(self.process.pid)
+        except ProcessLookupError:
+            return
+        try:
+            for number in numbers:
+                signal.pidfd_send_signal(process, number)
+                await asyncio.sleep(seconds(gap_ms))
+        except ProcessLookupError:
+            return
+        finally:
+            os.close(process)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -69,6 +69,9 @@
         plan += faults.draw_extra_faults(
             seed, length_ms, len(run.target_hosts)
         )
+        plan += faults.draw_signalled_stops(
+            seed, length_ms, len(run.balancers)
+        )
     return sorted(plan, key=lambda fault: fault.at_ms)
 
 
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -362,6 +362,7 @@
             *faults.draw_plan(seed, 20_000, 6, 9),
             *faults.draw_evacuations(seed, 20_000),
             *faults.draw_extra_faults(seed, 20_000, 9),
+            *faults.draw_signalled_stops(seed, 20_000, 6),
         )
     }
     groups = {faults.Fault, faults.BalancerFault, faults.TargetFault}
