Test a start as a module, and with SIGHUP ignored by whoever starts it

From the review of the tests: no test ran 'python -m liftmount.platform' any more, and with an inherited ignored SIGHUP (nohup) five scenarios failed, as they took that for the program's own handling. They wait for SIGTERM's handler, which the program sets first, and SIGHUP now.

--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -21,6 +21,7 @@
       | source   | it has asked the store  |
       | source   | its event loop runs     |
       | source   | it has joined the group |
+      | module   | SIGHUP is handled       |
       | deployed | SIGHUP is handled       |
 
   # Guards against signals to stop that end a balancer which starts, where a
@@ -40,6 +41,7 @@
       | source   | it has asked the store  | SIGINT                         |
       | source   | its event loop runs     | SIGHUP and SIGINT and SIGTERM  |
       | source   | it has joined the group | SIGINT                         |
+      | module   | SIGHUP is handled       | SIGTERM                        |
       | deployed | SIGHUP is handled       | SIGTERM                        |
       | deployed | it reads its settings   | SIGINT                         |
 
--- a/tests/features/steps/process_steps.py
+++ b/tests/features/steps/process_steps.py
@@ -455,22 +455,33 @@
     assert context.stop_duration_ms <= limit, context.stop_duration_ms
 
 
-def handles_sighup(pid):
-    """Return whether a process ignores SIGHUP or has a handler for it."""
-    lines = Path(f'/proc/{pid}/status').read_text().splitlines()
-    masks = [
-        int(line.split()[1], 16)
-        for line in lines
-        if line.startswith(('SigIgn', 'SigCgt'))
-    ]
-    return any(mask & 1 << (signal.SIGHUP - 1) for mask in masks)
+def read_signal_set(pid, field):
+    """Return a set of signals (SigIgn, SigCgt) of a process as bits."""
+    try:
+        text = Path(f'/proc/{pid}/status').read_text()
+    except OSError:
+        return 0
+    found = text.partition(f'\n{field}:')[2].split('\n')[0]
+    return int(found or '0', 16)
+
+
+def handles_signals(pid):
+    """Return whether a program handles SIGTERM and, set later, SIGHUP.
+
+    A process that inherited an ignored SIGHUP does not handle it by that.
+    """
+    caught = read_signal_set(pid, 'SigCgt')
+    ignored = read_signal_set(pid, 'SigIgn')
+    hup = 1 << (signal.SIGHUP - 1)
+    term = 1 << (signal.SIGTERM - 1)
+    return bool(caught & term and (caught | ignored) & hup)
 
 
 @when('a balancer in domain {domain} gets SIGTERM as soon as it has started')
 def sigterm_early(context, domain):
     balancer = start_balancer(context, domain)
     # A balancer ignores SIGHUP before it does anything else.
-    assert wait_until(lambda: handles_sighup(balancer.process.pid))
+    assert wait_until(lambda: handles_signals(balancer.process.pid))
     balancer.process.send_signal(signal.SIGTERM)
     context.stopped = time.monotonic()
 
@@ -505,7 +516,7 @@
     balancer = start_balancer(context, domain)
     # SIGHUP ends the interpreter until the balancer handles it.
     until = time.monotonic() + TIMEOUT_S
-    while not handles_sighup(balancer.process.pid):
+    while not handles_signals(balancer.process.pid):
         assert time.monotonic() < until
     hangups = 0
     while hangups < MIN_HANGUPS or balancer.ready()[0] != 200:
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -29,6 +29,7 @@
 from stand_ins.plans import ALL_PLANS
 from stand_ins.programs import balancer_command
 from tests.features.steps.process_steps import BalancerProcess
+from tests.features.steps.process_steps import handles_signals
 from tests.features.steps.process_steps import start_balancer
 from tests.features.steps.process_steps import wait_until
 
@@ -61,17 +62,6 @@
     return found.strip()
 
 
-def is_set(pid, field, number):
-    """Return whether a signal is in a set (SigIgn, SigCgt) of a process."""
-    bits = read_status(pid, field) or '0'
-    return bool(int(bits, 16) & 1 << (number - 1))
-
-
-def is_handled(pid, number):
-    """Return whether a signal does not have its default action."""
-    return is_set(pid, 'SigIgn', number) or is_set(pid, 'SigCgt', number)
-
-
 def parse_signals(text):
     """Return the signals in a text such as 'SIGHUP and SIGTERM'."""
     return [signal.Signals[name] for name in text.split(' and ')]
@@ -176,6 +166,14 @@
         return super().environment(context) | {'PYTHONPATH': dependencies}
 
 
+class ModuleBalancer(PipedBalancer):
+    """A balancer that is started as a module."""
+
+    def command(self, _context):
+        """Return the command that names the module."""
+        return [sys.executable, '-m', 'liftmount.platform']
+
+
 def build_target(context):
     """Build the deployed program from the installed dependencies."""
     target = context.directory / 'target'
@@ -188,7 +186,11 @@
     context.target = target
 
 
-FORMS = {'source': PipedBalancer, 'deployed': DeployedBalancer}
+FORMS = {
+    'source': PipedBalancer,
+    'module': ModuleBalancer,
+    'deployed': DeployedBalancer,
+}
 
 
 def start_form(context, form):
@@ -202,7 +204,7 @@
 
 def await_handled(balancer):
     pid = balancer.process.pid
-    await_event(lambda: is_handled(pid, signal.SIGHUP), 'SIGHUP is handled')
+    await_event(lambda: handles_signals(pid), 'SIGHUP is handled')
 
 
 def await_reading(balancer):
@@ -317,7 +319,7 @@
     command = [sys.executable, '-m', PROGRAMS, 'daemon']
     context.process = subprocess.Popen(command, stderr=subprocess.DEVNULL)
     pid = context.process.pid
-    await_event(lambda: is_handled(pid, signal.SIGHUP), 'SIGHUP is handled')
+    await_event(lambda: handles_signals(pid), 'SIGHUP is handled')
 
 
 @when('it gets {names} until it is gone')
@@ -343,7 +345,7 @@
         DAEMON, ['-m', PROGRAMS, 'daemon', *options], wait_ready=False
     )
     pid = context.process.pid
-    await_event(lambda: is_handled(pid, signal.SIGHUP), 'SIGHUP is handled')
+    await_event(lambda: handles_signals(pid), 'SIGHUP is handled')
     stop_process(context.process)
 
 
