Test signals at each line of a start and of an end

A program of the tests runs the real program and signals its own process before each line that it reaches in each state of the signals' actions, from the first handling of SIGHUP until the event loop turns, or from the end of a planned stop to the interpreter's end, when even the module objects are removed.

On the code as it is SIGHUP (-1), SIGINT (-2) and SIGTERM (-15) end a balancer and liftmountd at the end: as asyncio's loop closes it sets SIGTERM, SIGINT and SIGHUP to their defaults, in this order. In a start SIGINT ends a balancer (-2); SIGHUP and SIGTERM pass at each line.

--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -89,6 +89,38 @@
       | SIGTERM |
       | SIGINT  |
 
+  # Guards against a moment between two handlers of a start at which SIGHUP has
+  # its default action.
+  Scenario: SIGHUP at each line of a start does not end a balancer
+    When a balancer gets SIGHUP at each line of its start
+    Then it is ready, and its process runs
+
+  # Guards against a moment of a start at which a signal to stop ends a
+  # balancer, or is lost.
+  Scenario Outline: A signal to stop at each line of a start stops as planned
+    When a balancer gets <signal> at each line of its start
+    Then it stops as planned with status 0
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
+
+  # Guards against handlers that are taken back before the process is gone: as
+  # the event loop closes, and by the interpreter's own end.
+  Scenario Outline: Signals at each line of the end leave the status at 0
+    When a <program> gets <signal> at each line of its end
+    Then its status is 0 after the end of its interpreter
+
+    Examples:
+      | program    | signal  |
+      | balancer   | SIGHUP  |
+      | balancer   | SIGINT  |
+      | balancer   | SIGTERM |
+      | liftmountd | SIGHUP  |
+      | liftmountd | SIGINT  |
+      | liftmountd | SIGTERM |
+
   # Guards against signals that end a process which exits before its event
   # loop has run, so that the status of its error is lost.
   Scenario Outline: Signals in series leave the status of wrong settings at 2
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -7,6 +7,7 @@
 """
 
 import errno
+import json
 import os
 from pathlib import Path
 import signal
@@ -40,6 +41,9 @@
 # A stop that ends this fast is long enough for a series of signals.
 SHORT_GRACE_S = 2
 NEW_FLOW_AGE_S = 90
+SIGNALLER = 'tests.signals_at_each_line'
+# Fewest lines that run from the end of a planned stop on.
+LINES_OF_END = 100
 # Name of the liftmountd of a scenario.
 DAEMON = 'lm-1'
 
@@ -186,6 +190,21 @@
     context.target = target
 
 
+class SignalledBalancer(BalancerProcess):
+    """A balancer that signals itself at each line of a part of its life."""
+
+    def prepare(self):
+        """Write settings with a short grace period."""
+        self.settings['bounds']['grace_s'] = SHORT_GRACE_S
+        self.write_settings()
+
+    def command(self, context):
+        """Return the command that signals ``liftmount.platform``."""
+        module = 'liftmount.platform'
+        options = [context.part, context.signal_name, module]
+        return [sys.executable, '-m', SIGNALLER, *options]
+
+
 FORMS = {
     'source': PipedBalancer,
     'module': ModuleBalancer,
@@ -388,6 +407,50 @@
     assert status == 0, f'status {status}'
 
 
+# Signals at each line
+
+
+@when('a balancer gets {name} at each line of its {part}')
+def signalled_balancer(context, name, part):
+    context.part = part
+    context.signal_name = name
+    balancer = start_balancer(context, 'a', SignalledBalancer)
+    context.process = balancer.process
+    context.log_path = balancer.log_path
+    if part == 'end':
+        ready_and_runs(context)
+        balancer.process.send_signal(signal.SIGTERM)
+
+
+@when('a liftmountd gets {name} at each line of its end')
+def signalled_liftmountd(context, name):
+    deployment = Deployment(ALL_PLANS['small'](), Path(context.directory))
+    context.deployment = deployment
+    context.log_path = Path(context.directory) / f'{DAEMON}.log'
+    deployment.start_outside()
+    path = Path(context.directory) / f'{DAEMON}.toml'
+    path.write_text(tomli_w.dumps(deployment.make_settings(DAEMON)))
+    options = ['daemon', '--settings', str(path)]
+    context.process = deployment.spawn(
+        DAEMON, ['-m', SIGNALLER, 'end', name, PROGRAMS, *options]
+    )
+    context.process.send_signal(signal.SIGTERM)
+
+
+@then('its status is 0 after the end of its interpreter')
+def status_after_end(context):
+    status = context.process.wait(TIMEOUT_S)
+    lines = [
+        json.loads(line)
+        for line in context.log_path.read_text().splitlines()
+        if line.startswith('{"part": "signals"')
+    ]
+    assert status == 0, (f'status {status}', lines[-3:])
+    removed = [one for one in lines if one['event'] == 'removed']
+    assert removed, lines
+    assert removed[0]['sent'] >= LINES_OF_END, removed
+
+
 # Reloads
 
 
