Test that the launcher does nothing else before it handles signals

Docstrings say that signals to stop end the process until then too, and that a start that blocks ends by SIGKILL alone.

--- a/src/liftmount/_internal/utils/signals.py
+++ b/src/liftmount/_internal/utils/signals.py
@@ -17,7 +17,8 @@
 
     ``handlers`` maps the number of a signal to a callback without arguments.
     Signals of one number that come before their callback is called are one
-    call.  After the context they are ignored until the process has ended.
+    call.  After the context they are ignored until the process has ended:
+    it is for programs, not for code that others embed.
     """
 
     def __init__(self, handlers: dict):
--- a/src/liftmount/platform/launcher.py
+++ b/src/liftmount/platform/launcher.py
@@ -1,8 +1,9 @@
 """Starts a balancer, from the archive of its compiled modules if there is one.
 
 Run as a script, ``python3 -S -P .../launcher.py IP:PORT``, with the address
-for packets.  Until its first lines have run SIGHUP ends the process: ``-S``
-and a start by path leave only the interpreter's own start before them.
+for packets.  Until its first lines have run SIGHUP ends the process, as do
+signals to stop: ``-S`` and a start by path leave only the interpreter's own
+start before them.
 
 The address is bound before the imports, so that packets queue in the socket
 meanwhile.  Loading modules from one file saves searching the path for each
@@ -17,12 +18,13 @@
 
 
 class EarlySignals:
-    """The signals that a balancer handles before its event loop runs.
+    """The signals that a program handles before its event loop runs.
 
     SIGHUP is ignored: the settings are compared with those that were read
     once the event loop runs.  ``stops`` holds the numbers of the signals to
-    stop that were received.  ``processor_ms`` is the processor time of the
-    process until its signals were handled, and until then SIGHUP ended it.
+    stop that were received; a start that blocks ends by SIGKILL alone.
+    ``processor_ms`` is the processor time of the process until its signals
+    were handled; until then each of them ends it.
 
     A context: at its end the signals are ignored, as the interpreter's end
     would restore the default actions of those that have a handler.
--- a/src/liftmount/platform/start.py
+++ b/src/liftmount/platform/start.py
@@ -26,7 +26,7 @@
     ``bound`` is the RawSocket for packets if it is already bound, else None;
     ``signals`` are the launcher's EarlySignals.
     """
-    # Before they are read, so that a change from then on shows.
+    # Before the settings are read, so that a change from then on shows.
     stamp = read_stamp(path)
     try:
         settings = load_settings(path)
--- a/tests/features/platform/start.feature
+++ b/tests/features/platform/start.feature
@@ -45,3 +45,8 @@
       | place                       |
       | the deploy file             |
       | the tests and the soak      |
+
+  # Guards against work of the launcher's own while SIGHUP still ends it.
+  Scenario: The launcher does nothing else before it handles signals
+    When the launcher is traced until it ignores SIGHUP
+    Then it has called __build_class__ alone, and run at most 20 lines
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -93,6 +93,52 @@
     context.modules = names.split()
 
 
+# Runs the launcher until it sets a handler for SIGHUP, then lists its calls
+# of C functions, and counts its lines.
+TRACE_UNTIL_HANGUP = """
+import _signal, runpy, sys
+calls = []
+lines = []
+def is_launcher(frame):
+    return frame.f_code.co_filename.endswith('launcher.py')
+def profile(frame, event, function):
+    if event == 'c_call' and is_launcher(frame):
+        calls.append(function.__name__)
+def trace(frame, event, _argument):
+    if event == 'line' and is_launcher(frame):
+        lines.append(frame.f_lineno)
+    return trace
+def record(number, handler):
+    if number == _signal.SIGHUP:
+        sys.setprofile(None)
+        sys.settrace(None)
+        print(len(lines), *calls)
+        raise SystemExit
+_signal.signal = record
+sys.setprofile(profile)
+sys.settrace(trace)
+runpy.run_path('src/liftmount/platform/launcher.py', run_name='__main__')
+"""
+
+
+@when('the launcher is traced until it ignores SIGHUP')
+def trace_until_hangup(context):
+    completed = subprocess.run(
+        [sys.executable, '-S', '-c', TRACE_UNTIL_HANGUP],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    count, *context.calls = completed.stdout.split()
+    context.line_count = int(count)
+
+
+@then('it has called {name} alone, and run at most {most:d} lines')
+def called_alone(context, name, most):
+    assert context.calls == [name], context.calls
+    assert context.line_count <= most, context.line_count
+
+
 @then('SIGTERM {is_recorded} by then')
 def sigterm_recorded(context, is_recorded):
     assert context.is_recorded == (is_recorded == 'is recorded')
