--- a/src/liftmount/_internal/cli/daemon.py
+++ b/src/liftmount/_internal/cli/daemon.py
@@ -95,7 +95,7 @@
     stopped = asyncio.create_task(stopping.wait())
     await asyncio.wait({running, stopped}, return_when=asyncio.FIRST_COMPLETED)
     if not running.done():
-        await _shut_down(kernel, settings, kernel.clock)
+        await _shut_down(kernel, settings)
     for task in (running, ready, stopped):
         task.cancel()
     results = await asyncio.gather(running, return_exceptions=True)
@@ -121,8 +121,9 @@
     print(json.dumps(addresses), flush=True)
 
 
-async def _shut_down(kernel, settings, clock):
+async def _shut_down(kernel, settings):
     """Shut down gracefully, within ``limits.stop_ms``."""
+    clock = kernel.clock
     peers = kernel.lookup('peers')
     peers.is_stopping = True
     for name in ('data', 'peers'):
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -24,6 +24,7 @@
 LOSSY_NETWORK = 'tests/features/decisions/lossy_network.feature'
 SOAK = 'tests/features/platform/soak.feature'
 DISSEMINATION = 'tests/features/decisions/dissemination.feature'
+SIGNALS = 'tests/features/platform/signals.feature'
 STORE_CACHE = 'tests/features/decisions/store_cache.feature'
 DOMAIN_START = 'tests/features/decisions/domain_start.feature'
 TRANSFERS = 'tests/features/platform/transfers.feature'
@@ -493,6 +494,38 @@
         STALLS,
         'No more than a third of the targets of a service is ejected',
     ),
+    Mutation(
+        'signals have their default actions after the event loop',
+        'utils/signals.py',
+        'signal.signal(number, signal.SIG_IGN)',
+        'signal.signal(number, signal.SIG_DFL)',
+        SIGNALS,
+        'Signals at each line of the end leave the status at 0 -- @1.1',
+    ),
+    Mutation(
+        'early signals keep their handlers until the interpreter ends',
+        '../platform/launcher.py',
+        '            _signal.signal(number, _signal.SIG_IGN)',
+        '            pass',
+        SIGNALS,
+        'Signals in series leave the status of a wrong call at 2 -- @1.3',
+    ),
+    Mutation(
+        'signals that are received are not passed to the event loop',
+        'utils/signals.py',
+        'self._loop.call_soon_threadsafe(self._call, number)',
+        'pass',
+        SIGNALS,
+        'A signal to stop after many others is handled',
+    ),
+    Mutation(
+        'signals: settings that changed during a start are not compared',
+        'services/entry.py',
+        "        self._reload_if_changed('changed during the start')\n",
+        '',
+        SIGNALS,
+        'Settings that keep the time of those that were read are reloaded',
+    ),
 )
 
 
