--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -16,19 +16,18 @@
 import sys
 import time
 
-import attrs
 from behave import given
 from behave import then
 from behave import when
 import tomli_w
 
-from bundling.__main__ import build
 from liftmount.platform.launcher import DEPENDENCIES
 from liftmount.platform.launcher import PROGRAM
 from stand_ins.deployment import Deployment
 from stand_ins.deployment import PROGRAMS
 from stand_ins.plans import ALL_PLANS
 from stand_ins.programs import balancer_command
+from tests.features.steps.bundling_steps import deploy
 from tests.features.steps.process_steps import BalancerProcess
 from tests.features.steps.process_steps import handles_signals
 from tests.features.steps.process_steps import start_balancer
@@ -181,18 +180,6 @@
         return [sys.executable, '-m', 'liftmount.platform']
 
 
-def build_target(context):
-    """Build the deployed program from the installed dependencies."""
-    target = context.directory / 'target'
-    dependencies = target / DEPENDENCIES
-    dependencies.mkdir(parents=True)
-    for package in ('attr', 'attrs', 'cbor2', 'httptools'):
-        source = Path(attrs.__file__).parents[1] / package
-        (dependencies / package).symlink_to(source)
-    build(target)
-    context.target = target
-
-
 class SignalledBalancer(BalancerProcess):
     """A balancer that signals itself at each line of a part of its life."""
 
@@ -218,7 +205,7 @@
 def start_form(context, form):
     """Start a balancer in one of its forms."""
     if form == 'deployed':
-        build_target(context)
+        deploy(context)
     balancer = start_balancer(context, 'a', FORMS[form])
     context.process = balancer.process
     return balancer
