Test a stop before members are known, and handlers that fail or repeat

From a last reading of the changes: three parts of the fixes had no test of their own.

Two steps read a process's status by one function now.

--- a/tests/features/platform/signals.feature
+++ b/tests/features/platform/signals.feature
@@ -147,12 +147,29 @@
       | SIGINT  |
       | SIGTERM |
 
+  # Guards against a stop that fails as there is no list of members yet, in
+  # which other members could be told.
+  Scenario: A signal to stop before liftmountd has joined its members
+    Given a liftmountd whose list of members has not started
+    When it gets SIGTERM
+    Then it ends with status 0
+
   # Guards against a stop that is lost as signals come faster than they are
   # handled: what wakes the event loop holds a few hundred signals.
   Scenario: A signal to stop after many others is handled
     When SIGHUP comes 1000 times and then SIGTERM within a turn of the event loop
     Then SIGHUP is handled once and SIGTERM once
 
+  # Guards against a reload that fails and takes a stop with it.
+  Scenario: A handler that fails keeps no other signal from its handler
+    When SIGHUP and SIGTERM come and the handler of SIGHUP fails
+    Then SIGHUP is handled once and SIGTERM once
+
+  # Guards against a reload that is lost as another one is under way.
+  Scenario: A signal during its own handler is handled again
+    When SIGHUP comes during the handler of SIGHUP
+    Then SIGHUP is handled twice
+
   # Guards against settings that change during a start and are never used.
   Scenario Outline: Settings that change after they were read are reloaded
     Given a <form> balancer that has read settings which then change
--- a/tests/features/steps/process_steps.py
+++ b/tests/features/steps/process_steps.py
@@ -455,14 +455,19 @@
     assert context.stop_duration_ms <= limit, context.stop_duration_ms
 
 
-def read_signal_set(pid, field):
-    """Return a set of signals (SigIgn, SigCgt) of a process as bits."""
+def read_status(pid, field):
+    """Return a field of the status of a process, '' if it is gone."""
     try:
         text = Path(f'/proc/{pid}/status').read_text()
     except OSError:
-        return 0
+        return ''
     found = text.partition(f'\n{field}:')[2].split('\n')[0]
-    return int(found or '0', 16)
+    return found.strip()
+
+
+def read_signal_set(pid, field):
+    """Return a set of signals (SigIgn, SigCgt) of a process as bits."""
+    return int(read_status(pid, field) or '0', 16)
 
 
 def handles_signals(pid):
--- a/tests/features/steps/signals_steps.py
+++ b/tests/features/steps/signals_steps.py
@@ -30,6 +30,7 @@
 from tests.features.steps.bundling_steps import deploy
 from tests.features.steps.process_steps import BalancerProcess
 from tests.features.steps.process_steps import handles_signals
+from tests.features.steps.process_steps import read_status
 from tests.features.steps.process_steps import start_balancer
 from tests.features.steps.process_steps import wait_until
 
@@ -42,6 +43,7 @@
 SERIES_S = 0.000_5
 # A stop that ends this fast is long enough for a series of signals.
 SHORT_GRACE_S = 2
+SHORT_STOP_MS = 1_000
 NEW_FLOW_AGE_S = 90
 SIGNALLER = 'tests.signals_at_each_line'
 # Fewest lines that run from the end of a planned stop on.
@@ -58,16 +60,6 @@
         time.sleep(POLL_S)
 
 
-def read_status(pid, field):
-    """Return a field of the status of a process, '' if it is gone."""
-    try:
-        text = Path(f'/proc/{pid}/status').read_text()
-    except OSError:
-        return ''
-    found = text.partition(f'\n{field}:')[2].split('\n')[0]
-    return found.strip()
-
-
 def parse_signals(text):
     """Return the signals in a text such as 'SIGHUP and SIGTERM'."""
     return [signal.Signals[name] for name in text.split(' and ')]
@@ -364,6 +356,39 @@
     stop_process(context.process)
 
 
+# Runs liftmountd, whose list of members never starts.
+DAEMON_WITHOUT_MEMBERS = """
+import asyncio, sys
+from liftmount._internal.services.peers import PeerService
+from liftmount.platform.programs import daemon
+async def start(_self):
+    print('the list starts', flush=True)
+    await asyncio.Event().wait()
+PeerService.start = start
+sys.exit(daemon())
+"""
+
+
+@given('a liftmountd whose list of members has not started')
+def liftmountd_without_members(context):
+    deployment = deploy_store(context)
+    settings = deployment.make_settings(DAEMON)
+    settings['limits'] = {'stop_ms': SHORT_STOP_MS}
+    path = Path(context.directory) / f'{DAEMON}.toml'
+    path.write_text(tomli_w.dumps(settings))
+    context.process = deployment.spawn(
+        DAEMON,
+        ['-c', DAEMON_WITHOUT_MEMBERS, '--settings', str(path)],
+        wait_ready=False,
+    )
+    assert context.process.stdout.readline() == 'the list starts\n'
+
+
+@when('it gets SIGTERM')
+def gets_sigterm_alone(context):
+    context.process.send_signal(signal.SIGTERM)
+
+
 @when('it gets {names} and reads its settings')
 def liftmountd_goes_on(context, names):
     for number in parse_signals(names):
@@ -493,26 +518,31 @@
 import asyncio, os, signal
 from liftmount._internal.utils.signals import SignalHandlers
 calls = []
+def send(name):
+    os.kill(os.getpid(), signal.Signals[name])
+def hang_up():
+    calls.append('SIGHUP')
+    {during}
+def terminate():
+    calls.append('SIGTERM')
 async def run():
-    handlers = {{
-        number: lambda number=number: calls.append(number.name)
-        for number in (signal.SIGHUP, signal.SIGTERM)
-    }}
+    handlers = {{signal.SIGHUP: hang_up, signal.SIGTERM: terminate}}
     with SignalHandlers(handlers):
-        for _ in range({count}):
-            os.kill(os.getpid(), signal.SIGHUP)
-        os.kill(os.getpid(), signal.SIGTERM)
+        {sent}
         await asyncio.sleep(0.1)
 asyncio.run(run())
 print(*calls)
 """
 
 
-@when('SIGHUP comes {count:d} times and then SIGTERM within a turn of the '
-      'event loop')  # fmt: skip
-def signals_in_one_turn(context, count):
+def run_signalled(context, sent, during='pass'):
+    """Record the calls of handlers for the statement ``sent``.
+
+    ``during`` is a statement of the handler of SIGHUP.
+    """
+    code = SIGNALS_IN_ONE_TURN.format(sent=sent, during=during)
     completed = subprocess.run(
-        [sys.executable, '-c', SIGNALS_IN_ONE_TURN.format(count=count)],
+        [sys.executable, '-c', code],
         capture_output=True,
         text=True,
         check=True,
@@ -520,6 +550,34 @@
     context.calls = completed.stdout.split()
 
 
+@when('SIGHUP comes {count:d} times and then SIGTERM within a turn of the '
+      'event loop')  # fmt: skip
+def signals_in_one_turn(context, count):
+    names = f"['SIGHUP'] * {count} + ['SIGTERM']"
+    run_signalled(context, f'for name in {names}: send(name)')
+
+
+@when('SIGHUP and SIGTERM come and the handler of SIGHUP fails')
+def handler_fails(context):
+    run_signalled(
+        context,
+        "for name in ('SIGHUP', 'SIGTERM'): send(name)",
+        "raise RuntimeError('not reloaded')",
+    )
+
+
+@when('SIGHUP comes during the handler of SIGHUP')
+def signal_during_handler(context):
+    run_signalled(
+        context, "send('SIGHUP')", "len(calls) < 2 and send('SIGHUP')"
+    )
+
+
 @then('SIGHUP is handled once and SIGTERM once')
 def each_is_handled_once(context):
     assert context.calls == ['SIGHUP', 'SIGTERM'], context.calls
+
+
+@then('SIGHUP is handled twice')
+def is_handled_twice(context):
+    assert context.calls == ['SIGHUP', 'SIGHUP'], context.calls
